--- /dev/null
+++ b/cmd/celeryyard-control/main.go
@@ -0,0 +1,13 @@
+// Command celeryyard-control is the program of a control instance.
+package main
+
+import (
+	"os"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/role"
+)
+
+func main() {
+	os.Exit(kernel.Main("celeryyard-control", role.Control(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/kernel/event/event.go
@@ -0,0 +1,131 @@
+// Package event writes numbered log events. Each event is declared once, with
+// its number, level and message; docs/events.md lists them all.
+package event
+
+import (
+	"fmt"
+	"io"
+	"sort"
+
+	"github.com/rs/zerolog"
+
+	"github.com/celeryyard/celeryyard/kernel/rank"
+)
+
+// Event is a declared log event.
+type Event struct {
+	// Number is unique in the code base; the hundreds tell the area.
+	Number int
+	Level  zerolog.Level
+	// Message is the constant text of the event.
+	Message string
+}
+
+var (
+	mu       = rank.New(rank.Events)
+	declared = map[int]*Event{}
+)
+
+// Declare registers an event at package initialisation. It panics when the
+// number is taken.
+func Declare(number int, level zerolog.Level, message string) *Event {
+	mu.Lock()
+	defer mu.Unlock()
+	if old, ok := declared[number]; ok {
+		panic(fmt.Sprintf("event %d is declared twice: %q and %q", number, old.Message, message))
+	}
+	e := &Event{Number: number, Level: level, Message: message}
+	declared[number] = e
+	return e
+}
+
+// Declared returns all events in rising order of their numbers.
+func Declared() []*Event {
+	mu.Lock()
+	defer mu.Unlock()
+	list := make([]*Event, 0, len(declared))
+	for _, e := range declared {
+		list = append(list, e)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Number < list[j].Number })
+	return list
+}
+
+// Logger writes events with the fields of its plug-in and instance.
+type Logger struct{ z zerolog.Logger }
+
+// NewLogger returns a logger that writes JSON lines to w.
+func NewLogger(w io.Writer, level zerolog.Level) Logger {
+	return Logger{z: zerolog.New(w).Level(level).With().Timestamp().Logger()}
+}
+
+// Nop returns a logger that writes nothing.
+func Nop() Logger { return Logger{z: zerolog.Nop()} }
+
+// With returns a logger that adds a text field to each event.
+func (l Logger) With(key, value string) Logger {
+	return Logger{z: l.z.With().Str(key, value).Logger()}
+}
+
+// Log starts a record of event e. Fields are added to the result, which Send
+// writes: l.Log(evStarted).Str("address", a).Send(). It is nil, and its methods
+// do nothing, when the level is off.
+func (l Logger) Log(e *Event) *Record {
+	if l.z.GetLevel() > e.Level {
+		return nil
+	}
+	return &Record{e: l.z.WithLevel(e.Level).Int("event", e.Number), msg: e.Message}
+}
+
+// Record is one log line under construction. A nil Record discards everything.
+type Record struct {
+	e   *zerolog.Event
+	msg string
+}
+
+// Str adds a text field.
+func (r *Record) Str(key, v string) *Record {
+	if r != nil {
+		r.e.Str(key, v)
+	}
+	return r
+}
+
+// Uint adds an unsigned number.
+func (r *Record) Uint(key string, v uint64) *Record {
+	if r != nil {
+		r.e.Uint64(key, v)
+	}
+	return r
+}
+
+// Int adds a number.
+func (r *Record) Int(key string, v int) *Record {
+	if r != nil {
+		r.e.Int(key, v)
+	}
+	return r
+}
+
+// Float adds a number.
+func (r *Record) Float(key string, v float64) *Record {
+	if r != nil {
+		r.e.Float64(key, v)
+	}
+	return r
+}
+
+// Err adds the error text.
+func (r *Record) Err(err error) *Record {
+	if r != nil {
+		r.e.Err(err)
+	}
+	return r
+}
+
+// Send writes the line.
+func (r *Record) Send() {
+	if r != nil {
+		r.e.Msg(r.msg)
+	}
+}
--- /dev/null
+++ b/kernel/program.go
@@ -0,0 +1,114 @@
+package kernel
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/oklog/run"
+
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+// Version is the version of all programs; the build may set it with -ldflags.
+var Version = "0.1.0-dev"
+
+// Exit codes of all programs.
+const (
+	ExitOK        = 0
+	ExitFailure   = 1
+	ExitUsage     = 2
+	ExitRefused   = 3
+	ExitUndecided = 4
+)
+
+type programFlags struct {
+	Settings    string `short:"s" long:"settings" value-name:"FILE" description:"settings file, JSON with comments"`
+	CheckConfig bool   `long:"check-config" description:"check the settings file and exit"`
+	Bootstrap   bool   `long:"bootstrap" description:"form a new group of voters (control instances, first start only)"`
+	Version     bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main runs a program made of the named plug-ins and returns its exit code.
+// SIGINT and SIGTERM stop it gracefully.
+func Main(name string, plugins []string, args []string, stdout, stderr io.Writer) int {
+	var f programFlags
+	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Options", "", &f); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitFailure
+	}
+	rest, err := p.ParseArgs(args)
+	if code, done := flagOutcome(name, rest, err, stdout, stderr); done {
+		return code
+	}
+	if f.Version {
+		fmt.Fprintf(stdout, "%s %s\n", name, Version)
+		return ExitOK
+	}
+	if f.Settings == "" {
+		fmt.Fprintf(stderr, "%s: --settings is required\n", name)
+		return ExitUsage
+	}
+	return runProgram(name, plugins, f, stdout, stderr)
+}
+
+func flagOutcome(name string, rest []string, err error, stdout, stderr io.Writer) (int, bool) {
+	var fe *flags.Error
+	switch {
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, fe.Message)
+		return ExitOK, true
+	case err != nil:
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitUsage, true
+	case len(rest) > 0:
+		fmt.Fprintf(stderr, "%s: unexpected argument %q\n", name, rest[0])
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
+
+func runProgram(name string, plugins []string, f programFlags, stdout, stderr io.Writer) int {
+	file, err := settings.Load(f.Settings)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitUsage
+	}
+	o := Options{Plugins: plugins, Settings: file, Log: os.Stderr, Bootstrap: f.Bootstrap}
+	if f.CheckConfig {
+		if err := Check(o); err != nil {
+			fmt.Fprintf(stderr, "%s: %v\n", name, err)
+			return ExitUsage
+		}
+		fmt.Fprintf(stdout, "%s: settings are valid\n", f.Settings)
+		return ExitOK
+	}
+	k, err := New(o)
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitUsage
+	}
+	if err := runGroup(k); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+// runGroup runs the kernel until it ends or a signal asks it to stop.
+func runGroup(k *Kernel) error {
+	var g run.Group
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return k.Run(ctx) }, func(error) { cancel() })
+	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+	err := g.Run()
+	if errors.Is(err, run.ErrSignal) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/kernel/rank/check_test.go
@@ -0,0 +1,42 @@
+//go:build lockcheck
+
+package rank
+
+import "testing"
+
+// Guards against a checker that accepts an acquisition out of order.
+func TestAcquisitionOutOfOrderPanics(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second Rank
+		panics        bool
+	}{
+		{"rising", Quorum, Catalog, false},
+		{"falling", Catalog, Quorum, true},
+		{"same rank", Catalog, Catalog, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a, b := New(tc.first), New(tc.second)
+			a.Lock()
+			defer a.Unlock()
+			defer func() {
+				if got := recover() != nil; got != tc.panics {
+					t.Fatalf("panic = %v, want %v", got, tc.panics)
+				}
+			}()
+			b.Lock()
+			defer b.Unlock()
+		})
+	}
+}
+
+// Guards against ranks that stay recorded after their locks are released.
+func TestReleaseForgetsRank(t *testing.T) {
+	a, b := NewRW(Catalog), New(Quorum)
+	func() {
+		a.RLock()
+		defer a.RUnlock()
+	}()
+	b.Lock()
+	defer b.Unlock()
+}
--- /dev/null
+++ b/plugin/admin/plugin.go
@@ -0,0 +1,87 @@
+// Package admin serves /metrics, /healthz and /readyz, and pages that other
+// plug-ins add.
+package admin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/celeryyard/celeryyard/kernel"
+)
+
+// readHeaderTimeout bounds the reading of request headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Admin is the plug-in. Ready and Page are called before Start.
+type Admin struct {
+	c      *kernel.Context
+	s      *Settings
+	echo   *echo.Echo
+	server *http.Server
+	checks []func() error
+}
+
+func newAdmin(c *kernel.Context) *Admin {
+	a := &Admin{c: c, s: c.Settings.(*Settings), echo: echo.New()}
+	a.echo.GET("/metrics", a.metrics)
+	a.echo.GET("/healthz", func(e echo.Context) error { return e.String(http.StatusOK, "ok\n") })
+	a.echo.GET("/readyz", a.ready)
+	return a
+}
+
+// Ready adds a check: while it returns an error, /readyz answers 503 with its
+// text. Checks run on the goroutine of the HTTP request and must not block.
+func (a *Admin) Ready(check func() error) { a.checks = append(a.checks, check) }
+
+// Page adds a read-only page whose value is written as JSON.
+func (a *Admin) Page(path string, f func() any) {
+	a.echo.GET(path, func(e echo.Context) error { return e.JSON(http.StatusOK, f()) })
+}
+
+// Start implements kernel.Plugin.
+func (a *Admin) Start(context.Context) error {
+	if a.s.Listen == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", a.s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for administration")
+	}
+	a.server = &http.Server{Handler: a.echo, ReadHeaderTimeout: readHeaderTimeout}
+	go func() {
+		if err := a.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			a.c.Fail(err)
+		}
+	}()
+	return nil
+}
+
+// Stop implements kernel.Plugin.
+func (a *Admin) Stop(ctx context.Context) error {
+	if a.server == nil {
+		return nil
+	}
+	return a.server.Shutdown(ctx)
+}
+
+func (a *Admin) metrics(e echo.Context) error {
+	e.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+	a.c.Metrics.WritePrometheus(e.Response())
+	metrics.WriteProcessMetrics(e.Response())
+	return nil
+}
+
+func (a *Admin) ready(e echo.Context) error {
+	for _, check := range a.checks {
+		if err := check(); err != nil {
+			return e.String(http.StatusServiceUnavailable, err.Error()+"\n")
+		}
+	}
+	return e.String(http.StatusOK, "ready\n")
+}
--- /dev/null
+++ b/plugin/admin/setup.go
@@ -0,0 +1,33 @@
+package admin
+
+import (
+	"net/netip"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:     "admin",
+		Settings: func() any { return &Settings{} },
+		New:      func(c *kernel.Context) (kernel.Plugin, error) { return newAdmin(c), nil },
+	})
+}
+
+// Settings configures the plug-in.
+type Settings struct {
+	// Listen is IP:port of the listener for metrics and health; empty turns it off.
+	Listen string `json:"listen"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	if s.Listen == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(s.Listen); err != nil {
+		return settings.Invalid("listen", "%q is not IP:port", s.Listen)
+	}
+	return nil
+}
--- /dev/null
+++ b/plugin/peer/setup.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name: "peer",
+		Settings: func() any {
+			return &Settings{
+				MinBackoff: settings.Duration(50 * time.Millisecond),
+				MaxBackoff: settings.Duration(2 * time.Second),
+				MaxConns:   4096,
+			}
+		},
+		New: func(c *kernel.Context) (kernel.Plugin, error) { return newPeer(c) },
+	})
+}
+
+// Member is a control instance that processes of the fleet connect to.
+type Member struct {
+	Name             string `json:"name"`
+	Address          string `json:"address"`
+	AvailabilityZone string `json:"availability_zone"`
+}
+
+// Settings configures the plug-in.
+type Settings struct {
+	// Listen is IP:port for connections of other processes; empty on nodes.
+	Listen string `json:"listen"`
+	// Instances lists the control instances of the fleet, this one included.
+	Instances []Member `json:"instances"`
+	// MinBackoff and MaxBackoff bound the pause between attempts to connect. The
+	// pause doubles with each failure and is drawn uniformly from its upper half.
+	MinBackoff settings.Duration `json:"min_backoff"`
+	MaxBackoff settings.Duration `json:"max_backoff"`
+	// MaxConns bounds the accepted connections.
+	MaxConns int `json:"max_conns"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	if s.Listen != "" {
+		if _, err := netip.ParseAddrPort(s.Listen); err != nil {
+			return settings.Invalid("listen", "%q is not IP:port", s.Listen)
+		}
+	}
+	seen := map[string]bool{}
+	for i, m := range s.Instances {
+		if _, err := netip.ParseAddrPort(m.Address); err != nil {
+			return settings.Invalid(field("instances", i, "address"), "%q is not IP:port", m.Address)
+		}
+		if m.Name == "" || seen[m.Name] {
+			return settings.Invalid(field("instances", i, "name"), "%q is empty or used twice", m.Name)
+		}
+		seen[m.Name] = true
+	}
+	if s.MinBackoff <= 0 || s.MaxBackoff < s.MinBackoff {
+		return settings.Invalid("max_backoff", "must be at least min_backoff, which must be positive")
+	}
+	if s.MaxConns < 1 {
+		return settings.Invalid("max_conns", "%d is below 1", s.MaxConns)
+	}
+	return nil
+}
--- /dev/null
+++ b/role/role.go
@@ -0,0 +1,14 @@
+// Package role lists the plug-ins of each program of the fleet, so that
+// programs and tests that embed a kernel run the same ones.
+package role
+
+import (
+	_ "github.com/celeryyard/celeryyard/plugin/admin" // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/peer"  // registers itself
+)
+
+// Control lists the plug-ins of a control instance.
+func Control() []string { return []string{"admin", "peer"} }
+
+// Node lists the plug-ins of the process beside an upstream.
+func Node() []string { return []string{"admin", "peer"} }
