rpc: close the socket of a peer that reads too slowly

Cause: on overflow the stream was marked closed, but its writing goroutine stayed blocked in the socket write, so the connection never ended. Ruled out: the queue bound itself, which was enforced. Change: the overflow closes the socket, which frees the writing goroutine. Before: TestSlowPeerIsDisconnected fails after 5 s; after: it passes. Conclusion: go test -race -run SlowPeer ./core/rpc shows the fix.

--- a/core/rpc/frame.go
+++ b/core/rpc/frame.go
@@ -77,14 +77,21 @@
 	if err != nil {
 		return err
 	}
+	err = s.enqueue(frame)
+	if errors.Is(err, ErrSlowPeer) {
+		// The writing goroutine is blocked in the socket; only Close frees it.
+		_ = s.Close()
+	}
+	return err
+}
+
+func (s *stream) enqueue(frame []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return ErrClosed
 	}
 	if s.queued+len(frame) > queueBytes {
-		s.closed = true
-		s.wake.Signal()
 		return ErrSlowPeer
 	}
 	s.queue = append(s.queue, frame)
