--- a/role/role.go
+++ b/role/role.go
@@ -3,8 +3,11 @@
 package role
 
 import (
-	_ "github.com/celeryyard/celeryyard/plugin/admin" // registers itself
-	_ "github.com/celeryyard/celeryyard/plugin/peer"  // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/admin"       // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/idempotency" // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/inbound"     // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/outbound"    // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/peer"        // registers itself
 )
 
 // Control lists the plug-ins of a control instance.
