--- a/core/httpcall/check.go
+++ b/core/httpcall/check.go
@@ -22,13 +22,13 @@
 	}
 	var one [1]byte
 	result := error(nil)
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not look at the deadline of the last exchange.
+	err = raw.Control(func(fd uintptr) {
 		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		// Zero bytes without an error are the end of the stream.
 		if !errors.Is(e, syscall.EAGAIN) {
 			result = errStale
 		}
-		return true
 	})
 	if err != nil {
 		return err
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -260,13 +260,17 @@
 	return err
 }
 
-// CopyBody copies the response body to w. flush is called after each part of a
-// body of unknown length. readErr tells that the response was cut; writeErr that
-// w failed.
+// CopyBody copies the response body to w. flush sends what w holds back: after
+// each part of a body of unknown length, else once at the end, so that the other
+// side need not wait for the handler to return. readErr tells that the response
+// was cut; writeErr that w failed.
 func (x *Exchange) CopyBody(w io.Writer, flush func() error) (readErr, writeErr error) {
+	stream := x.Response.ContentLength < 0
+	if x.Response.Body == http.NoBody {
+		return nil, flush()
+	}
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
-	stream := x.Response.ContentLength < 0 && flush != nil
 	for {
 		n, err := x.Response.Body.Read(*buf)
 		if n > 0 {
@@ -279,10 +283,12 @@
 				}
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF) && stream:
 			return nil, nil
-		}
-		if err != nil {
+		case errors.Is(err, io.EOF):
+			return nil, flush()
+		case err != nil:
 			return err, nil
 		}
 	}
--- /dev/null
+++ b/core/httpcall/httpcall_test.go
@@ -0,0 +1,327 @@
+package httpcall
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/rpc"
+	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/kernel/rank"
+)
+
+var testKey = rpc.NewKey([]byte("test-fleet-key-0123456789"))
+
+// scripted serves each connection by a function of raw bytes, after the request
+// head was read.
+func scripted(t *testing.T, serve func(c net.Conn, n int)) (address string, requests *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	requests = new(atomic.Int32)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					n := int(requests.Add(1))
+					serve(c, n)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), requests
+}
+
+func get(c *Client, address string) (*Exchange, *Failure) {
+	return c.Do(context.Background(), &Request{
+		To: Target{Address: address}, Deadline: time.Now().Add(2 * time.Second),
+		HTTP: &http.Request{Method: "GET", URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
+	})
+}
+
+// Guards against answers that are taken for complete though they were cut, and
+// against connections with leftover state that serve another call.
+func TestMalformedAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name, answer string
+		head         bool // the head is accepted
+		body         bool // the body is complete
+		reuse        bool
+	}{
+		{"complete", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true, true, true},
+		{"interim first", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true, true, true},
+		{"short body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true, false, false},
+		{"cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", true, false, false},
+		{"cut in chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", true, false, false},
+		{"extra bytes", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother", true, true, false},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", false, false, false},
+		{"no framing", "HTTP/1.1 200 OK\r\n\r\nok", false, false, false},
+		{"switch", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false, false, false},
+		{"nothing", "", false, false, false},
+		{"close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", true, true, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			address, _ := scripted(t, func(c net.Conn, _ int) {
+				_, _ = io.WriteString(c, tc.answer)
+				if !tc.reuse {
+					_ = c.Close()
+				}
+			})
+			c := NewClient(ClientOptions{Rank: rank.Routing})
+			defer c.Close()
+			x, f := get(c, address)
+			if (f == nil) != tc.head {
+				t.Fatalf("failure %v, want head accepted %v", f, tc.head)
+			}
+			if f != nil {
+				if f.Verdict() != verdict.MayHaveRun || f.Kind != KindCut {
+					t.Fatalf("got %v, want a cut that may have run", f)
+				}
+				return
+			}
+			var b strings.Builder
+			readErr, _ := x.CopyBody(&b, func() error { return nil })
+			x.Finish(readErr == nil)
+			if (readErr == nil) != tc.body || tc.body && b.String() != "ok" {
+				t.Fatalf("body %q, error %v, want complete %v", b.String(), readErr, tc.body)
+			}
+			if kept := len(c.idle[address]) == 1; kept != tc.reuse {
+				t.Fatalf("connection kept %v, want %v", kept, tc.reuse)
+			}
+		})
+	}
+}
+
+// Guards against calls that are sent into a connection that the server closed,
+// or that got unasked bytes, while it was idle.
+func TestIdleConnectionIsChecked(t *testing.T) {
+	for name, late := range map[string]func(c net.Conn){
+		"closed": func(c net.Conn) { _ = c.Close() },
+		"bytes":  func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan bool, 4)
+			address, requests := scripted(t, func(c net.Conn, n int) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				if n == 1 {
+					time.Sleep(50 * time.Millisecond)
+					late(c)
+					done <- true
+				}
+			})
+			c := NewClient(ClientOptions{Rank: rank.Routing})
+			defer c.Close()
+			for i := range 2 {
+				x, f := get(c, address)
+				if f != nil {
+					t.Fatalf("call %d: %v", i, f)
+				}
+				var b strings.Builder
+				readErr, _ := x.CopyBody(&b, func() error { return nil })
+				x.Finish(readErr == nil)
+				if b.String() != "ok" {
+					t.Fatalf("call %d: body %q", i, b.String())
+				}
+				if i == 0 {
+					<-done
+				}
+			}
+			if n := requests.Load(); n != 2 {
+				t.Fatalf("%d requests, want 2", n)
+			}
+		})
+	}
+}
+
+// Guards against a verdict of "not run" after bytes met the connection, and
+// against the lack of it when none did.
+func TestVerdictOfFailures(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := l.Addr().String()
+	_ = l.Close()
+	silent, _ := scripted(t, func(net.Conn, int) { time.Sleep(time.Second) })
+	c := NewClient(ClientOptions{Rank: rank.Routing})
+	if _, f := get(c, refused); f == nil || f.Verdict() != verdict.NotRun || f.Kind != KindUnreachable {
+		t.Fatalf("refused connection: %v", f)
+	}
+	for _, cancelled := range []bool{true, false} {
+		ctx, cancel := context.WithCancel(context.Background())
+		deadline := time.Now().Add(50 * time.Millisecond)
+		if cancelled {
+			time.AfterFunc(20*time.Millisecond, cancel)
+			deadline = time.Now().Add(time.Minute)
+		}
+		_, f := c.Do(ctx, &Request{
+			To: Target{Address: silent}, Deadline: deadline,
+			HTTP: &http.Request{Method: "GET", URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
+		})
+		cancel()
+		want := map[bool]Kind{true: KindCancelled, false: KindTimeout}[cancelled]
+		if f == nil || f.Verdict() != verdict.MayHaveRun || f.Kind != want {
+			t.Fatalf("cancelled %v: %v, want %v that may have run", cancelled, f, want)
+		}
+	}
+}
+
+// node serves f behind an acceptor, as the inbound listener does.
+func nodeServer(t *testing.T, key rpc.Key, name string, f func(s *Session, w http.ResponseWriter, r *http.Request)) string {
+	a := &Acceptor{Key: key, Node: name}
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s := a.Accept(w, r); s != nil {
+			f(s, w, r)
+		}
+	}))
+	srv.Config.ConnContext = a.ConnContext
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+// Guards against rejections that another party forged or that were signed for
+// another request, and against nodes that serve or call strangers.
+func TestProofs(t *testing.T) {
+	var earlier string
+	step := 0
+	address := nodeServer(t, testKey, "n", func(s *Session, w http.ResponseWriter, r *http.Request) {
+		switch step++; step {
+		case 1:
+			earlier = "full;" + s.secret.rejection("full")
+			s.Reject(w, "full")
+		case 2: // the proof of the first request
+			w.Header().Set(headerRejected, earlier)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 3: // the proof of another reason
+			w.Header().Set(headerRejected, strings.Replace("full;"+s.secret.rejection("full"), "full", "leaving", 1))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.Header().Set(headerRejected, "full;"+strings.Repeat("0", 64))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	c := NewClient(ClientOptions{Rank: rank.Routing, Authenticate: true, Key: testKey})
+	call := func(c *Client, node string) (*Exchange, *Failure) {
+		return c.Do(context.Background(), &Request{
+			To: Target{Node: node, Address: address}, Deadline: time.Now().Add(2 * time.Second),
+			Call: &Call{Service: "s", Organisation: "o"},
+			HTTP: &http.Request{Method: "POST", URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
+		})
+	}
+	if _, f := call(c, "n"); f == nil || f.Kind != KindRejected || f.Reason != "full" || f.Verdict() != verdict.NotRun {
+		t.Fatalf("signed rejection: %v", f)
+	}
+	for i := range 3 {
+		x, f := call(c, "n")
+		if f != nil {
+			t.Fatalf("forged rejection %d was believed: %v", i, f)
+		}
+		_ = x.Drain()
+	}
+	stranger := NewClient(ClientOptions{Rank: rank.Routing, Authenticate: true, Key: rpc.NewKey([]byte("another-fleet-key-99999"))})
+	if _, f := call(stranger, "n"); f == nil || f.Kind != KindUnreachable || step > 5 {
+		t.Fatalf("client with another key: %v", f)
+	}
+	other := NewClient(ClientOptions{Rank: rank.Routing, Authenticate: true, Key: testKey})
+	if _, f := call(other, "m"); f == nil || f.Verdict() != verdict.NotRun {
+		t.Fatalf("another node at the address: %v", f)
+	}
+	before := step
+	resp, err := http.Get("http://" + address + "/")
+	if err != nil || resp.StatusCode != http.StatusForbidden || step != before {
+		t.Fatalf("request without greeting: %v, %v", resp, err)
+	}
+	_ = resp.Body.Close()
+}
+
+// Guards against an upload that blocks for ever when the answer comes early, and
+// against a half-sent request whose connection is used again.
+func TestEarlyAnswerDuringUpload(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	}))
+	defer srv.Close()
+	address := strings.TrimPrefix(srv.URL, "http://")
+	pr, pw := io.Pipe()
+	go func() { _, _ = pw.Write(make([]byte, KeepBytes+100)) }() // and then nothing more
+	r := httptest.NewRequest("POST", "/", pr)
+	r.ContentLength = 1 << 30
+	b := &Body{kept: keepBuffers.Get().(*bytes.Buffer), rest: pr, length: r.ContentLength}
+	b.kept.Reset()
+	_, _ = io.CopyN(b.kept, pr, KeepBytes)
+	c := NewClient(ClientOptions{Rank: rank.Routing})
+	x, f := c.Do(context.Background(), &Request{
+		To: Target{Address: address}, Deadline: time.Now().Add(5 * time.Second), Body: b,
+		HTTP:    &http.Request{Method: "POST", URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
+		Unblock: func() { _ = pr.CloseWithError(io.ErrClosedPipe) },
+	})
+	if f != nil {
+		t.Fatal(f)
+	}
+	if x.Response.StatusCode != http.StatusRequestEntityTooLarge || !x.Early {
+		t.Fatalf("status %d, early %v", x.Response.StatusCode, x.Early)
+	}
+	_ = x.Drain()
+	if len(c.idle[address]) != 0 {
+		t.Fatal("connection with a half-sent request was kept")
+	}
+}
+
+// FuzzParseCall guards against call headers that crash or do not survive a round trip.
+func FuzzParseCall(f *testing.F) {
+	for _, s := range []string{"1;250;svc;org", "1;1;a%3Bb;Fundaci%C3%B3n;n;127.0.0.1:1", "2;;;", "1;9;;", ";;;;;;;"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		c, err := ParseCall(s)
+		if err != nil {
+			return
+		}
+		again, err := ParseCall(c.Encode())
+		if len(c.Encode()) <= maxCallHeader && (err != nil || again != c) {
+			t.Fatalf("%q: %+v, again %+v, %v", s, c, again, err)
+		}
+	})
+}
+
+// FuzzProofs guards against greetings and rejections of strangers that crash or pass.
+func FuzzProofs(f *testing.F) {
+	f.Add("full;00", "00;11", "n")
+	f.Add(fmt.Sprintf("full;%064d", 0), fmt.Sprintf("%032d;%064d", 0, 0), "%41")
+	f.Fuzz(func(t *testing.T, rejection, hello, node string) {
+		s := secret{key: testKey, client: make([]byte, nonceBytes), server: make([]byte, nonceBytes)}
+		if _, ok := s.verifyRejection(rejection); ok {
+			t.Fatalf("rejection %q was believed", rejection)
+		}
+		if _, err := s.checkHello(hello, node); err == nil {
+			t.Fatalf("greeting %q of %q was believed", hello, node)
+		}
+		_, _ = ParseLoad(hello)
+		_, _ = ParseTimeout(hello)
+	})
+}
--- a/plugin/idempotency/plugin.go
+++ b/plugin/idempotency/plugin.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/pool"
@@ -22,9 +24,9 @@
 )
 
 var (
-	evHandedOver = event.Declare(850, zerolog.InfoLevel, "claims handed over")
-	evHandover   = event.Declare(851, zerolog.WarnLevel, "claims could not be handed over")
-	evUnsent     = event.Declare(852, zerolog.WarnLevel, "answer was not copied to the other holder of its claim")
+	evCopied   = event.Declare(850, zerolog.InfoLevel, "claims copied to their new holders")
+	evUncopied = event.Declare(851, zerolog.WarnLevel, "claims could not be copied to a new holder")
+	evUnsent   = event.Declare(852, zerolog.WarnLevel, "answer was not copied to the other holder of its claim")
 )
 
 // Idempotency is the plug-in.
@@ -40,9 +42,13 @@
 	boot   uint64
 	sent   *metrics.Counter
 	repeat *metrics.Counter
+	// started is set once client and pool can be used by other goroutines: the view
+	// may change before Start.
+	started atomic.Bool
 
 	// mu guards the table and the other holders of the own claims.
 	mu     *rank.Mutex
+	sets   map[string]*resource.EndpointSet
 	seq    uint64
 	claims *claims
 	other  map[string]httpcall.Target
@@ -56,6 +62,7 @@
 		other: map[string]httpcall.Target{},
 		sent:  c.Metrics.NewCounter("celeryyard_claim_messages_total"), repeat: c.Metrics.NewCounter("celeryyard_claim_repeats_total"),
 	}
+	p.view.Watch(p.changed)
 	c.Metrics.NewGauge("celeryyard_claims", func() float64 {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -73,6 +80,7 @@
 		Workers: p.s.Workers, Queue: pool.NewKeyedFIFO(p.s.Queue),
 		OnPanic: func(v any, stack []byte) { p.c.Fail(errors.Newf("job panicked: %v\n%s", v, stack)) },
 	})
+	p.started.Store(true)
 	p.c.Every("idempotency/expire", time.Minute, func() {
 		p.mu.Lock()
 		p.claims.expire(time.Now())
@@ -129,6 +137,7 @@
 	if result != ResultNew || c.Backup.Address == "" {
 		if result == ResultKnown {
 			p.repeat.Inc()
+			known = p.told(known)
 		}
 		return result, known, nil
 	}
@@ -153,6 +162,17 @@
 	return answer.Result, nil, nil
 }
 
+// told is what a caller is told of a known claim: a call that another process was
+// running may have run.
+func (p *Idempotency) told(r *Record) *Record {
+	if r.State != StateRunning || r.Primary == p.c.Instance.Name && r.Boot == p.boot {
+		return r
+	}
+	n := *r
+	n.State = StateUnknown
+	return &n
+}
+
 // adopt replaces the own fresh claim by what the backup knows. A call that another
 // process was running may have run.
 func (p *Idempotency) adopt(r *Record) *Record {
@@ -165,19 +185,28 @@
 	return p.claims.finish(r.ID, s, r.Reply, time.Now(), p.s.Keep.D())
 }
 
+// Knows reports whether this node holds the claim.
+func (p *Idempotency) Knows(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claims.records[id] != nil
+}
+
 // Finish records the outcome of a call that may have run and copies it to the
 // other holder without waiting for it.
 func (p *Idempotency) Finish(id string, s State, a *Answer) {
 	p.mu.Lock()
 	r := p.claims.finish(id, s, a, time.Now(), p.s.Keep.D())
-	to, ok := p.other[id]
+	other := p.other[id]
 	p.mu.Unlock()
-	if r == nil || !ok || s == StateUnknown {
+	if r == nil || s == StateUnknown {
 		return
 	}
 	out := *r
 	out.TTL = p.s.Keep.D().Milliseconds()
-	p.later(to, &message{Op: opMerge, Records: []Record{out}})
+	for _, to := range p.holdersOf(id, other) {
+		p.later(to, &message{Op: opMerge, Records: []Record{out}})
+	}
 }
 
 // Release forgets a claim whose call did not run, here and at the other holder.
--- /dev/null
+++ b/plugin/inbound/admission_test.go
@@ -0,0 +1,167 @@
+package inbound
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/celeryyard/celeryyard/kernel/pool"
+)
+
+// sim drives the queue discipline by simulated time.
+type sim struct {
+	a       *Admission
+	now     time.Time
+	work    map[string]time.Duration
+	ends    map[*pool.Job]time.Time
+	arrived map[*pool.Job]time.Time
+	waited  map[string][]time.Duration
+	done    map[string]int
+	refused map[string]int
+	late    int
+}
+
+func newSim(slots int, work map[string]time.Duration) *sim {
+	return &sim{
+		a: newAdmission(slots, 2*slots, &estimate{}), now: time.Unix(1_700_000_000, 0), work: work,
+		ends: map[*pool.Job]time.Time{}, arrived: map[*pool.Job]time.Time{}, waited: map[string][]time.Duration{},
+		done: map[string]int{}, refused: map[string]int{},
+	}
+}
+
+func (s *sim) push(org string, deadline time.Duration) {
+	j := &pool.Job{Group: org, Deadline: s.now.Add(deadline)}
+	if err := s.a.Push(j, s.now); err != nil {
+		s.refused[org]++
+		return
+	}
+	s.arrived[j] = s.now
+}
+
+// step advances the time, ends what is due and starts what may start.
+func (s *sim) step(d time.Duration) {
+	s.now = s.now.Add(d)
+	for j, end := range s.ends {
+		if !s.now.Before(end) {
+			delete(s.ends, j)
+			s.a.Done(j, s.now)
+			s.done[j.Group]++
+		}
+	}
+	for {
+		j, _ := s.a.Pop(s.now)
+		if j == nil {
+			return
+		}
+		if !s.now.Before(j.Deadline) {
+			s.late++
+		}
+		s.waited[j.Group] = append(s.waited[j.Group], s.now.Sub(s.arrived[j]))
+		s.ends[j] = s.now.Add(s.work[j.Group])
+	}
+}
+
+// Guards against a flood of one organisation that takes the other's slots or
+// makes its calls wait.
+func TestFloodLeavesShareAndLatency(t *testing.T) {
+	work := map[string]time.Duration{"north": 10 * time.Millisecond, "south": 10 * time.Millisecond}
+	s := newSim(9, work)
+	for i := range 20000 { // 20 s; the flood is four times the capacity
+		for range 4 {
+			s.push("north", 500*time.Millisecond)
+		}
+		if i%12 == 0 { // a tenth of the capacity
+			s.push("south", 500*time.Millisecond)
+		}
+		s.step(time.Millisecond)
+	}
+	most := time.Duration(0)
+	for _, w := range s.waited["south"] {
+		most = max(most, w)
+	}
+	if s.refused["south"] > 0 || most > 2*time.Millisecond {
+		t.Errorf("south: %d refused, longest wait %v", s.refused["south"], most)
+	}
+	// South uses 0.83 slots on average and one more stays free for it.
+	if n := s.done["north"]; n < 7*100*20 {
+		t.Errorf("north finished %d calls, though 7 of 9 slots are always its to borrow", n)
+	}
+	// Both flood: each gets half of the service time, though north's calls are longer.
+	work["north"] = 40 * time.Millisecond
+	s = newSim(8, work)
+	for range 20000 {
+		s.push("north", time.Second)
+		s.push("south", time.Second)
+		s.push("south", time.Second)
+		s.step(time.Millisecond)
+	}
+	n, m := float64(s.done["north"])*0.040, float64(s.done["south"])*0.010
+	if n/m < 0.9 || n/m > 1.1 {
+		t.Errorf("slot time north %.1f s, south %.1f s", n, m)
+	}
+}
+
+// Guards against slots that are used twice, queues that grow, calls that start
+// after their deadline, and calls that are lost in the queue.
+func TestAdmissionInvariants(t *testing.T) {
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(3))
+	props.Property("slots, bounds, deadlines and completeness", prop.ForAll(func(slots int, seed uint64) bool {
+		r := rand.New(rand.NewPCG(seed, 0))
+		orgs := []string{"a", "b", "c"}
+		s := newSim(slots, map[string]time.Duration{"a": 3 * time.Millisecond, "b": 9 * time.Millisecond, "c": time.Millisecond})
+		pushed, dropped := 0, 0
+		for range 400 {
+			before := s.a.Len()
+			s.push(orgs[r.IntN(3)], time.Duration(r.IntN(30))*time.Millisecond)
+			pushed += s.a.Len() - before
+			dropped += len(s.a.dropLate(s.now))
+			s.step(time.Duration(r.IntN(2)) * time.Millisecond)
+			if len(s.a.running) > slots || s.a.Len() > 3*2*slots || s.late > 0 {
+				return false
+			}
+		}
+		for range 200 {
+			dropped += len(s.a.dropLate(s.now))
+			s.step(time.Millisecond)
+		}
+		return s.a.Len() == 0 && len(s.a.running) == 0 && s.done["a"]+s.done["b"]+s.done["c"]+dropped <= pushed
+	}, gen.IntRange(1, 9), gen.UInt64()))
+	props.TestingRun(t)
+}
+
+// Guards against calls that are started though they cannot end in time, and
+// against an estimate that refuses everything for ever.
+func TestHopelessCallsDoNotStart(t *testing.T) {
+	var e estimate
+	now := time.Unix(1_700_000_000, 0)
+	e.observe(50*time.Millisecond, now)
+	a := newAdmission(2, 4, &e)
+	if err := a.Push(&pool.Job{Group: "a", Deadline: now.Add(20 * time.Millisecond)}, now); err == nil {
+		t.Error("a call with 20 ms left was queued though runs take 50 ms")
+	}
+	j := &pool.Job{Group: "a", Deadline: now.Add(70 * time.Millisecond)}
+	if err := a.Push(j, now); err != nil {
+		t.Fatal(err)
+	}
+	if next, dropped := a.Pop(now.Add(30 * time.Millisecond)); next != nil || len(dropped) != 1 {
+		t.Errorf("a queued call with 40 ms left was not dropped: %v, %v", next, dropped)
+	}
+	if err := a.Push(&pool.Job{Group: "a", Deadline: now.Add(5*time.Second + 10*time.Millisecond)}, now.Add(5*time.Second)); err != nil {
+		t.Errorf("after 5 s without observations: %v", err)
+	}
+}
+
+// FuzzParseReport guards against load reports of upstreams that crash or leave 0..1.
+func FuzzParseReport(f *testing.F) {
+	f.Add(`JSON {"application_utilization": 0.5}`)
+	f.Add(`JSON {"application_utilization": -1e400}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		if v, ok := parseReport(s); ok && !(v >= 0 && v <= 1) {
+			t.Fatalf("%q gives %v", s, v)
+		}
+	})
+}
--- /dev/null
+++ b/plugin/outbound/decide_test.go
@@ -0,0 +1,211 @@
+package outbound
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/core/verdict"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func endpoints(n int, change func(i int, e *resource.Endpoint)) *resource.EndpointSet {
+	s := &resource.EndpointSet{Service: "svc"}
+	for i := range n {
+		e := resource.Endpoint{
+			Node: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("127.0.0.1:%d", i+1), Incarnation: 1,
+			AvailabilityZone: "z1", Slots: 9, State: resource.StateReady, ReadySince: 1,
+		}
+		if change != nil {
+			change(i, &e)
+		}
+		s.Endpoints = append(s.Endpoints, e)
+	}
+	return s
+}
+
+// Guards against a set that one node's own broken network empties, and against
+// in-flight counts that drift.
+func TestEjectionIsBounded(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(2)
+	props := gopter.NewProperties(params)
+	props.Property("at most half is ejected and an endpoint is always found", prop.ForAll(func(n int, outcomes []int) bool {
+		s := &set{zone: "z1"}
+		r := rand.New(rand.NewPCG(1, uint64(n)))
+		now := start
+		for _, o := range outcomes {
+			now = now.Add(time.Duration(o) * time.Millisecond)
+			s.update(endpoints(n, nil), now)
+			e := s.pick(now, 0, nil, r.IntN)
+			if e == nil {
+				return false
+			}
+			e.inflight++
+			s.done(e, Outcome(o%6), 1+o%3, now)
+			ejected := 0
+			for _, e := range s.list {
+				if e.inflight != 0 {
+					return false
+				}
+				if now.Before(e.ejected) {
+					ejected++
+				}
+			}
+			// Outcome 4 marks an endpoint as leaving, which is not a matter of health.
+			for _, e := range s.list {
+				e.leaving = time.Time{}
+			}
+			if 2*ejected > n {
+				return false
+			}
+		}
+		return true
+	}, gen.IntRange(1, 12), gen.SliceOfN(200, gen.IntRange(0, 50))))
+	props.TestingRun(t)
+}
+
+// Guards against calls that keep going to an endpoint that refuses connections.
+func TestRefusedCountsAtOnce(t *testing.T) {
+	s := &set{zone: "z1"}
+	s.update(endpoints(4, nil), start)
+	e := s.list[0]
+	e.inflight++
+	if !s.done(e, OutcomeRefused, 5, start) {
+		t.Fatal("a refused connection did not eject")
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		if got := s.pick(start, 0, nil, r.IntN); got == e {
+			t.Fatal("the ejected endpoint was picked")
+		}
+	}
+}
+
+// Guards against calls that leave the zone without need, that stay in it when it
+// is clearly busier, and that go to endpoints which leave, start or are stale.
+func TestOrderOfChoice(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	share := func(s *set, want func(e *endpoint) bool) (n int) {
+		for range 1000 {
+			if e := s.pick(start, 0, nil, r.IntN); e != nil && want(e) {
+				n++
+			}
+		}
+		return n
+	}
+	s := &set{zone: "z1"}
+	s.update(endpoints(6, func(i int, e *resource.Endpoint) {
+		if i >= 3 {
+			e.AvailabilityZone = "z2"
+		}
+	}), start)
+	local := func(e *endpoint) bool { return e.AvailabilityZone == "z1" }
+	if n := share(s, local); n != 1000 {
+		t.Fatalf("idle: %d of 1000 calls stay in the zone", n)
+	}
+	for _, e := range s.list[:3] {
+		e.inflight = 9
+	}
+	if n := share(s, local); n != 0 {
+		t.Fatalf("busy: %d of 1000 calls stay in the zone", n)
+	}
+	s.update(endpoints(4, func(i int, e *resource.Endpoint) {
+		e.Incarnation = 2
+		e.State = []resource.EndpointState{resource.StateReady, resource.StateDraining, resource.StateStarting, resource.StateReady}[i]
+		e.Stale = i == 3
+	}), start)
+	if n := share(s, func(e *endpoint) bool { return e.Node == "n0" }); n != 1000 {
+		t.Fatalf("%d of 1000 calls go to the only ready endpoint", n)
+	}
+	if e := s.pick(start, 0, s.list[:1], r.IntN); e != s.list[3] {
+		t.Fatalf("without it %v was picked, want the stale one", e)
+	}
+}
+
+// Guards against a cold endpoint that gets its full share at once, and against
+// clock skew that keeps it cold.
+func TestSlowStart(t *testing.T) {
+	s := &set{zone: "z1"}
+	s.update(endpoints(2, func(i int, e *resource.Endpoint) {
+		if i == 1 {
+			e.ReadySince = start.Add(time.Hour).UnixMilli() // its clock is ahead
+		}
+	}), start)
+	cold := s.list[1]
+	for _, tc := range []struct {
+		age         time.Duration
+		least, most float64
+	}{{0, 0.1, 0.1}, {5 * time.Second, 0.49, 0.51}, {10 * time.Second, 1, 1}} {
+		if w := cold.weight(start.Add(tc.age), 10*time.Second); w < tc.least || w > tc.most {
+			t.Errorf("after %v its weight is %v", tc.age, w)
+		}
+	}
+	r := rand.New(rand.NewPCG(1, 1))
+	got := 0
+	for range 100 { // ten calls in flight at a time
+		for range 10 {
+			s.pick(start, 10*time.Second, nil, r.IntN).inflight++
+		}
+		got += cold.inflight
+		s.list[0].inflight, cold.inflight = 0, 0
+	}
+	if got > 200 {
+		t.Errorf("the cold endpoint got %d of 1000 calls", got)
+	}
+}
+
+// Guards against retries that multiply the load of a cluster in trouble.
+func TestRetryBudget(t *testing.T) {
+	var b budget
+	retries := 0
+	for i := range 1000 {
+		b.call(20, start.Add(time.Duration(i)*time.Millisecond))
+		for b.retry() {
+			retries++
+		}
+	}
+	if retries < 190 || retries > 200+budgetLeast+2 {
+		t.Fatalf("%d retries for 1000 calls at 20 percent", retries)
+	}
+}
+
+// Guards against retries of calls that may have run, of answers to dead callers,
+// and of calls whose body is gone.
+func TestRetryRules(t *testing.T) {
+	f := func(k httpcall.Kind, v verdict.Verdict, reason string) *httpcall.Failure {
+		f := httpcall.NewFailure(k, v, errNoEndpoint)
+		f.Reason = reason
+		return f
+	}
+	cut, refused := f(httpcall.KindCut, verdict.MayHaveRun, ""), f(httpcall.KindUnreachable, verdict.NotRun, "")
+	for i, tc := range []struct {
+		f          *httpcall.Failure
+		idem, body bool
+		attempts   int
+		want       bool
+	}{
+		{cut, false, true, 1, false}, {cut, true, true, 1, true}, {cut, true, false, 1, false}, {cut, true, true, 3, false},
+		{refused, false, true, 1, true}, {refused, false, false, 1, false}, {refused, false, true, 3, false},
+		{f(httpcall.KindRejected, verdict.NotRun, httpcall.ReasonFull), false, true, 1, true},
+		{f(httpcall.KindRejected, verdict.NotRun, httpcall.ReasonExpired), false, true, 1, false},
+		{f(httpcall.KindTimeout, verdict.NotRun, ""), true, true, 1, false},
+		{f(httpcall.KindCancelled, verdict.MayHaveRun, ""), true, true, 1, false},
+	} {
+		if got := mayRetry(tc.f, tc.idem, tc.body, tc.attempts, 3); got != tc.want {
+			t.Errorf("case %d: %v gives %v", i, tc.f, got)
+		}
+	}
+	for method, want := range map[string]bool{"GET": true, "HEAD": true, "OPTIONS": true, "PUT": false, "DELETE": false, "POST": false} {
+		if idempotent(method, false) != want || !idempotent(method, true) {
+			t.Errorf("method %s", method)
+		}
+	}
+}
--- /dev/null
+++ b/test/dataplane/bench_test.go
@@ -0,0 +1,30 @@
+package dataplane
+
+import (
+	"io"
+	"net/http"
+	"testing"
+)
+
+// BenchmarkCall makes one call after another, direct to the upstream and through
+// two nodes.
+func BenchmarkCall(b *testing.B) {
+	f := newFleet(b, 64)
+	up := f.add("a", "z1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	n := f.add("b", "z1", nil)
+	for name, url := range map[string]string{"direct": up.upstream.URL + "/", "nodes": "http://" + n.outbound + "/"} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r, _ := http.NewRequest("GET", url, nil)
+				r.Host = "north"
+				resp, err := testClient.Do(r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -1,8 +1,10 @@
 package dataplane
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -30,6 +32,7 @@
 	announce *fakeAnnounce
 	outbound string
 	inbound  string
+	relay    *relay
 	upstream *httptest.Server
 	endpoint resource.Endpoint
 }
@@ -62,11 +65,19 @@
 		n.upstream = httptest.NewServer(h)
 		f.t.Cleanup(n.upstream.Close)
 	}
+	n.relay = newRelay(f.t, kerneltest.FreeAddress(f.t), n.inbound)
 	f.start(n)
 	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
 	f.mu.Unlock()
 	f.publish()
+	f.listening(n)
+	return n
+}
+
+// listening waits until the node's listeners are open.
+func (f *fleet) listening(n *node) {
+	f.t.Helper()
 	kerneltest.Wait(f.t, 5*time.Second, "listener", func() bool {
 		resp, err := http.Get("http://" + n.outbound + "/none")
 		if err != nil {
@@ -75,7 +86,14 @@
 		_ = resp.Body.Close()
 		return true
 	})
-	return n
+	kerneltest.Wait(f.t, 5*time.Second, "listener for nodes", func() bool {
+		c, err := net.Dial("tcp", n.inbound)
+		if err != nil {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
 }
 
 // start runs the node's process, again after a stop.
@@ -89,7 +107,7 @@
 		return
 	}
 	n.endpoint = resource.Endpoint{
-		Node: n.name, Service: "svc", Incarnation: uint64(time.Now().UnixNano()), Address: n.inbound,
+		Node: n.name, Service: "svc", Incarnation: uint64(time.Now().UnixNano()), Address: n.relay.address,
 		AvailabilityZone: n.zone, Slots: f.slots, State: resource.StateReady, ReadySince: 1,
 	}
 	n.announce.mu.Lock()
@@ -107,6 +125,34 @@
 	f.publish()
 }
 
+// crash makes a node look dead at once and starts it again without its state.
+func (f *fleet) crash(n *node, down time.Duration) {
+	n.relay.kill()
+	n.announce.mu.Lock()
+	n.announce.onDrain, n.announce.onGone, n.announce.grace = nil, nil, 0
+	n.announce.mu.Unlock()
+	f.setState(n, resource.StateGone)
+	time.Sleep(down)
+	f.restart(n)
+}
+
+// leave runs a planned stop and starts the node again.
+func (f *fleet) leave(n *node) {
+	f.restart(n)
+}
+
+func (f *fleet) restart(n *node) {
+	n.stop()
+	f.mu.Lock()
+	f.start(n)
+	f.mu.Unlock()
+	if n.relay.l == nil {
+		n.relay.open()
+	}
+	f.listening(n)
+	f.publish()
+}
+
 // publish gives every node the current configuration and endpoints.
 func (f *fleet) publish() {
 	f.mu.Lock()
@@ -147,7 +193,11 @@
 
 // call makes one call through the node's outbound listener.
 func (n *node) call(method, org, path, body string, header ...string) answer {
-	r, err := http.NewRequest(method, "http://"+n.outbound+path, strings.NewReader(body))
+	return n.callContext(context.Background(), method, org, path, body, header...)
+}
+
+func (n *node) callContext(ctx context.Context, method, org, path, body string, header ...string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+n.outbound+path, strings.NewReader(body))
 	if err != nil {
 		n.t.Fatal(err)
 	}
