outbound: endpoints are read under the balancer's lock

Change: the view's changes update the balancer in order, pick returns a copy of the target; an endpoint that leaves is used last instead of never; inbound rejects for 200 ms more before it closes; tests of claims and fuzz targets.

--- a/core/httpcall/httpcall_test.go
+++ b/core/httpcall/httpcall_test.go
@@ -262,11 +262,19 @@
 // Guards against an upload that blocks for ever when the answer comes early, and
 // against a half-sent request whose connection is used again.
 func TestEarlyAnswerDuringUpload(t *testing.T) {
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.WriteHeader(http.StatusRequestEntityTooLarge)
-	}))
-	defer srv.Close()
-	address := strings.TrimPrefix(srv.URL, "http://")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() { // answers without reading the body and keeps the connection
+		c, err := l.Accept()
+		if err == nil {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	address := l.Addr().String()
 	pr, pw := io.Pipe()
 	go func() { _, _ = pw.Write(make([]byte, KeepBytes+100)) }() // and then nothing more
 	r := httptest.NewRequest("POST", "/", pr)
--- /dev/null
+++ b/plugin/idempotency/table_test.go
@@ -0,0 +1,123 @@
+package idempotency
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// holder simulates one process with its table; messages to the backup may be
+// lost, answered late or delivered after the caller gave up.
+type holder struct {
+	name string
+	boot uint64
+	seq  uint64
+	t    *claims
+}
+
+// Guards against a call that runs twice because a release or a claim of an
+// earlier try arrives late, a holder dies, or two processes claim at once.
+func TestClaimsRunOnce(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(5)
+	params.MinSuccessfulTests = 2000
+	props := gopter.NewProperties(params)
+	props.Property("a key runs once while one holder lives", prop.ForAll(func(seed uint64) string {
+		r := rand.New(rand.NewPCG(seed, 0))
+		h := []*holder{{name: "p", boot: 1, t: newClaims(9, 1<<20)}, {name: "b", boot: 2, t: newClaims(9, 1<<20)}}
+		var late []func() // messages on their way to the backup
+		runs, crashed := 0, false
+		for range 12 {
+			i := 0
+			if crashed { // the backup has become primary
+				i = 1
+			}
+			p, b := h[i], h[1-i]
+			p.seq++
+			c := &Record{ID: "k", Hash: "h", State: StateRunning, Primary: p.name, Boot: p.boot, Seq: p.seq}
+			if result, _ := p.t.claimOwn(c, start, time.Minute); result != ResultNew {
+				continue
+			}
+			if r.IntN(4) == 0 { // the claim is lost or late: the call is not run
+				late = append(late, func() { b.t.claim(c, start, time.Minute) })
+				p.t.release(c)
+			} else if result, rec := b.t.claim(c, start, time.Minute); result == ResultKnown {
+				p.t.finish("k", StateUnknown, rec.Reply, start, time.Minute)
+			} else if r.IntN(2) == 0 { // rejected before the run
+				p.t.release(c)
+				late = append(late, func() { b.t.release(c) })
+			} else {
+				runs++
+				p.t.finish("k", StateUnknown, nil, start, time.Minute)
+			}
+			for len(late) > 0 && r.IntN(2) == 0 {
+				late[0]()
+				late = late[1:]
+			}
+			if !crashed && r.IntN(5) == 0 {
+				crashed = true
+				h[0] = &holder{name: "p", boot: 3, t: newClaims(9, 1<<20)}
+			}
+		}
+		if runs > 1 {
+			return fmt.Sprintf("ran %d times", runs)
+		}
+		return ""
+	}, gen.UInt64()))
+	props.TestingRun(t)
+}
+
+// Guards against a table that grows without bound or forgets a claim to make
+// room for another one.
+func TestFullTableRefuses(t *testing.T) {
+	c := newClaims(2, 10)
+	claim := func(id string, now time.Time) Result {
+		r, _ := c.claimOwn(&Record{ID: id, Hash: "h", Primary: "p", Seq: 1}, now, time.Minute)
+		return r
+	}
+	if claim("a", start) != ResultNew || claim("b", start) != ResultNew || claim("c", start) != ResultFull || claim("a", start) != ResultKnown {
+		t.Fatal("the third claim must be refused and the first one kept")
+	}
+	if r := c.finish("a", StateAnswered, &Answer{Status: 200, Body: make([]byte, 11)}, start, time.Minute); r.State != StateUnkept || c.bytes != 0 {
+		t.Fatalf("an answer without room: %+v, %d bytes", r, c.bytes)
+	}
+	if c.merge(&Record{ID: "d", Hash: "h", State: StateUnknown, Primary: "q"}, start, time.Minute) {
+		t.Fatal("a copied claim exceeded the bound")
+	}
+	if claim("c", start.Add(2*time.Minute)) != ResultNew || len(c.records) != 1 {
+		t.Fatalf("after the time to keep: %d records", len(c.records))
+	}
+}
+
+// FuzzMessages guards against messages of other processes that crash, or that
+// put malformed records into the table.
+func FuzzMessages(f *testing.F) {
+	f.Add([]byte(`{"op":"claim","records":[{"id":"a\u0000b\u0000c","hash":"h","state":"running","primary":"p","boot":1,"seq":2,"ttl_ms":5}]}`))
+	f.Add([]byte(`{"op":"merge","records":[{"id":"a","hash":"h","state":"answered","primary":"p","reply":{"status":200,"body":"aGk="}}]}`))
+	f.Add([]byte(`{"result":"known","record":{"id":"a","hash":"h","state":"unknown","primary":"p"}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_, _ = parseReply(b)
+		m, err := parseMessage(b)
+		if err != nil {
+			return
+		}
+		c := newClaims(4, 100)
+		for i := range m.Records {
+			c.merge(&m.Records[i], start, time.Minute)
+			serviceOf(m.Records[i].ID)
+		}
+		if c.bytes > 100 || len(c.records) > 4 {
+			t.Fatalf("%d records with %d bytes", len(c.records), c.bytes)
+		}
+		if _, err := json.Marshal(m); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/plugin/inbound/admission_test.go
+++ b/plugin/inbound/admission_test.go
@@ -90,18 +90,20 @@
 	if n := s.done["north"]; n < 7*100*20 {
 		t.Errorf("north finished %d calls, though 7 of 9 slots are always its to borrow", n)
 	}
-	// Both flood: each gets half of the service time, though north's calls are longer.
+	// Both flood: each gets half of the service time, though north's calls are
+	// longer. With one slot only the round robin sees to it.
 	work["north"] = 40 * time.Millisecond
-	s = newSim(8, work)
-	for range 20000 {
-		s.push("north", time.Second)
-		s.push("south", time.Second)
-		s.push("south", time.Second)
-		s.step(time.Millisecond)
-	}
-	n, m := float64(s.done["north"])*0.040, float64(s.done["south"])*0.010
-	if n/m < 0.9 || n/m > 1.1 {
-		t.Errorf("slot time north %.1f s, south %.1f s", n, m)
+	for _, slots := range []int{1, 8} {
+		s = newSim(slots, work)
+		for range 20000 {
+			s.push("north", time.Second)
+			s.push("south", time.Second)
+			s.step(time.Millisecond)
+		}
+		n, m := float64(s.done["north"])*0.040, float64(s.done["south"])*0.010
+		if n/m < 0.9 || n/m > 1.1 {
+			t.Errorf("%d slots: slot time north %.1f s, south %.1f s", slots, n, m)
+		}
 	}
 }
 
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -36,6 +36,10 @@
 // readHeaderTimeout bounds the reading of request headers.
 const readHeaderTimeout = 10 * time.Second
 
+// linger is the time for which calls of nodes that have not yet heard of the stop
+// are still rejected with proof before the listener closes.
+const linger = 200 * time.Millisecond
+
 // idleCheck is the interval at which expired idle connections are closed.
 const idleCheck = 2 * time.Second
 
@@ -61,6 +65,8 @@
 	pool    *pool.Pool
 	active  int
 	leaving bool
+	// left is the incarnation of the upstream that leaves; a later one is served.
+	left uint64
 	// idle is called when the last call in flight has ended.
 	idle func()
 }
@@ -121,6 +127,10 @@
 	var err error
 	select {
 	case <-left:
+		select {
+		case <-time.After(linger):
+		case <-ctx.Done():
+		}
 	case <-ctx.Done():
 		err = errors.New("planned stop did not end in time")
 	}
@@ -139,9 +149,10 @@
 // those in flight and hands the claims over.
 func (in *Inbound) leave(done func()) {
 	in.c.Log.Log(evLeaving).Send()
+	incarnation := in.announce.Endpoint().Incarnation
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.leaving = true
+	in.leaving, in.left = true, incarnation
 	in.idle = func() {
 		in.c.Log.Log(evDrained).Send()
 		ctx, cancel := context.WithTimeout(context.Background(), in.s.HandoverTimeout.D())
@@ -163,12 +174,13 @@
 
 // enter counts a call as in flight unless the upstream leaves. It returns the
 // pool whose workers are the slots; nil when the upstream has none.
-func (in *Inbound) enter(slots int) (p *pool.Pool, leaving bool) {
+func (in *Inbound) enter(slots int, incarnation uint64) (p *pool.Pool, leaving bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.leaving {
+	if in.leaving && incarnation <= in.left {
 		return nil, true
 	}
+	in.leaving = false
 	if slots != in.slots {
 		in.resize(slots)
 	}
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -111,18 +111,19 @@
 	return v + float64(e.failures)
 }
 
-func (e *endpoint) usable(now time.Time, stale bool) bool {
-	return e.State == resource.StateReady && e.Stale == stale && !now.Before(e.leaving)
+// avoided reports whether the endpoint is ejected or said that it leaves.
+func (e *endpoint) avoided(now time.Time) bool {
+	return now.Before(e.ejected) || now.Before(e.leaving)
 }
 
-// pick chooses an endpoint that is not in tried: ready ones, then stale ones,
-// then ejected ones. It returns nil when none is left. intn returns a random
+// pick chooses a ready endpoint that is not in tried: fresh ones, then stale
+// ones, then those that are avoided. It returns nil when none is left. intn returns a random
 // number below its argument.
 func (s *set) pick(now time.Time, slow time.Duration, tried []*endpoint, intn func(int) int) *endpoint {
-	for _, tier := range [...]struct{ stale, ejected bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+	for _, tier := range [...]struct{ stale, avoided bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
 		s.local, s.remote = s.local[:0], s.remote[:0]
 		for _, e := range s.list {
-			if !e.usable(now, tier.stale) || now.Before(e.ejected) != tier.ejected || contains(tried, e) {
+			if e.State != resource.StateReady || e.Stale != tier.stale || e.avoided(now) != tier.avoided || contains(tried, e) {
 				continue
 			}
 			if e.AvailabilityZone == s.zone {
@@ -186,7 +187,7 @@
 	e.inflight--
 	switch o {
 	case OutcomeAnswer:
-		e.failures, e.ejections = 0, 0
+		e.failures, e.ejections, e.leaving = 0, 0, time.Time{}
 	case OutcomeFailure:
 		e.failures++
 	case OutcomeRefused:
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -20,7 +20,6 @@
 	r        *http.Request
 	route    *resource.Route
 	cluster  *resource.Cluster
-	set      *resource.EndpointSet
 	deadline time.Time
 	body     *httpcall.Body
 	// key is the Idempotency-Key of a call that must run at most once over repeats.
@@ -49,11 +48,11 @@
 	tried := c.tried[:0]
 	last := httpcall.NewFailure(httpcall.KindUnreachable, verdict.NotRun, errNoEndpoint)
 	for attempts := 1; ; attempts++ {
-		to := c.choose(tried)
-		if to == nil {
+		e, to := c.choose(tried)
+		if e == nil {
 			break
 		}
-		f := c.attempt(to)
+		f := c.attempt(e, to)
 		if f == nil {
 			return
 		}
@@ -63,8 +62,8 @@
 			break
 		}
 		// The only endpoint of a set is tried again after a cut.
-		if len(tried) < cap(tried) && (f.Kind != httpcall.KindCut || len(c.set.Endpoints) > 1) {
-			tried = append(tried, to)
+		if len(tried) < cap(tried) && (f.Kind != httpcall.KindCut || len(c.endpoints().Endpoints) > 1) {
+			tried = append(tried, e)
 		}
 		c.m.retries.Inc()
 	}
@@ -72,32 +71,41 @@
 }
 
 // choose returns the endpoint of the next attempt, or nil.
-func (c *call) choose(tried []*endpoint) *endpoint {
+func (c *call) choose(tried []*endpoint) (*endpoint, httpcall.Target) {
 	if c.key == "" {
-		return c.o.table.pick(c.cluster, c.set, tried, time.Now())
+		return c.o.table.pick(c.cluster, tried, time.Now())
 	}
 	id := httpcall.ClaimID(c.route.Organisation, c.cluster.Service, c.key)
-	primary, backup := httpcall.Holders(c.set, id)
+	primary, backup := httpcall.Holders(c.endpoints(), id)
 	if primary == nil {
-		return nil
+		return nil, httpcall.Target{}
 	}
 	c.call.Keyed = true
 	if backup != nil {
 		c.call.BackupNode, c.call.BackupAddress = backup.Node, backup.Address
 	}
-	return c.o.table.named(c.set, primary.Node, time.Now())
+	return c.o.table.named(c.cluster.Service, primary.Node, time.Now())
+}
+
+// endpoints returns the current set of the service, which may be newer than the
+// call's route.
+func (c *call) endpoints() *resource.EndpointSet {
+	if set := c.o.view.Current().Sets[c.cluster.Service]; set != nil {
+		return set
+	}
+	return &resource.EndpointSet{}
 }
 
 // attempt makes one dispatch and forwards its answer. It returns nil once the
 // answer was begun.
-func (c *call) attempt(to *endpoint) *httpcall.Failure {
+func (c *call) attempt(e *endpoint, to httpcall.Target) *httpcall.Failure {
 	header := make(http.Header, len(c.r.Header)+4)
 	httpcall.Forward(header, c.r.Header)
 	c.url = *c.r.URL
 	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
 	c.call.Service, c.call.Organisation = c.cluster.Service, c.route.Organisation
 	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
-		To:   httpcall.Target{Node: to.Node, Address: to.Address},
+		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Call: &c.call, Body: c.body, Deadline: c.deadline, Unblock: c.unblock,
 	})
@@ -105,26 +113,26 @@
 		f = c.reported(x)
 	}
 	if f != nil {
-		c.settle(to, outcome(f))
+		c.settle(e, to.Node, outcome(f))
 		if f.Kind == httpcall.KindRejected {
 			c.o.rejected(f.Reason)
 		}
 		return f
 	}
 	if load, ok := httpcall.ParseLoad(x.Response.Header.Get(httpcall.HeaderLoad)); ok {
-		c.o.table.loaded(to, load, time.Now())
+		c.o.table.loaded(e, load, time.Now())
 	}
 	if c.forward(x) {
-		c.settle(to, OutcomeAnswer)
+		c.settle(e, to.Node, OutcomeAnswer)
 	} else {
-		c.settle(to, OutcomeFailure)
+		c.settle(e, to.Node, OutcomeFailure)
 	}
 	return nil
 }
 
-func (c *call) settle(to *endpoint, o Outcome) {
-	if c.o.table.done(c.cluster.Service, to, o, c.cluster.EjectAfter, time.Now()) {
-		c.o.c.Log.Log(evEjected).Str("endpoint", to.Node).Str("service", c.cluster.Service).Send()
+func (c *call) settle(e *endpoint, node string, o Outcome) {
+	if c.o.table.done(c.cluster.Service, e, o, c.cluster.EjectAfter, time.Now()) {
+		c.o.c.Log.Log(evEjected).Str("endpoint", node).Str("service", c.cluster.Service).Send()
 		c.o.ejections.Inc()
 	}
 }
--- a/plugin/outbound/decide_test.go
+++ b/plugin/outbound/decide_test.go
@@ -59,10 +59,6 @@
 					ejected++
 				}
 			}
-			// Outcome 4 marks an endpoint as leaving, which is not a matter of health.
-			for _, e := range s.list {
-				e.leaving = time.Time{}
-			}
 			if 2*ejected > n {
 				return false
 			}
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -67,9 +67,10 @@
 type callMetrics struct{ ran, notRun, mayHaveRun, retries *metrics.Counter }
 
 func newOutbound(c *kernel.Context) *Outbound {
+	view := kernel.Use[api.View](c, "view")
 	o := &Outbound{
-		c: c, s: c.Settings.(*Settings), view: kernel.Use[api.View](c, "view"), peer: kernel.Use[*peer.Peer](c, "peer"),
-		table:      newTable(c.Instance.AvailabilityZone, c.Rand()),
+		c: c, s: c.Settings.(*Settings), view: view, peer: kernel.Use[*peer.Peer](c, "peer"),
+		table:      newTable(c.Instance.AvailabilityZone, view.Current, c.Rand()),
 		dispatches: c.Metrics.NewCounter(`celeryyard_dispatches_total{side="outbound"}`),
 		ejections:  c.Metrics.NewCounter("celeryyard_ejections_total"),
 		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="outbound"}`),
@@ -121,10 +122,10 @@
 
 // changed closes idle connections to endpoints that are draining or gone.
 func (o *Outbound) changed(s *resource.Snapshot) {
+	o.table.apply(s, time.Now())
 	if !o.started.Load() {
 		return
 	}
-	o.table.prune(s)
 	use := map[string]bool{}
 	for _, set := range s.Sets {
 		for i := range set.Endpoints {
@@ -149,7 +150,6 @@
 		return
 	}
 	c := &call{o: o, w: w, r: r, route: route, cluster: snapshot.Clusters[route.Cluster], m: o.metricsOf(route.Organisation)}
-	c.set = snapshot.Sets[c.cluster.Service]
 	if err := c.prepare(); err != nil {
 		c.m.notRun.Inc()
 		w.Header().Set("Connection", "close")
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -4,13 +4,15 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/kernel/rank"
 )
 
 // table holds what this node knows of the endpoints and the retry budgets.
 type table struct {
-	zone string
+	zone    string
+	current func() *resource.Snapshot
 
 	// mu guards the fields below.
 	mu      *rank.Mutex
@@ -19,8 +21,8 @@
 	budgets map[string]*budget
 }
 
-func newTable(zone string, rng *rand.Rand) *table {
-	return &table{zone: zone, mu: rank.New(rank.Balancer), rng: rng, sets: map[string]*set{}, budgets: map[string]*budget{}}
+func newTable(zone string, current func() *resource.Snapshot, rng *rand.Rand) *table {
+	return &table{zone: zone, current: current, mu: rank.New(rank.Balancer), rng: rng, sets: map[string]*set{}, budgets: map[string]*budget{}}
 }
 
 // begin counts a call of the cluster for its retry budget.
@@ -46,38 +48,46 @@
 	return b
 }
 
-// pick chooses an endpoint and counts the attempt as in flight.
-func (t *table) pick(c *resource.Cluster, from *resource.EndpointSet, tried []*endpoint, now time.Time) *endpoint {
+// pick chooses an endpoint and counts the attempt as in flight. The target is a
+// copy, since the record of the endpoint may change at any time.
+func (t *table) pick(c *resource.Cluster, tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.set(from, now)
-	e := s.pick(now, time.Duration(c.SlowStartMillis)*time.Millisecond, tried, t.rng.IntN)
-	if e != nil {
-		e.inflight++
-	}
-	return e
+	s := t.set(c.Service, now)
+	return t.chosen(s.pick(now, time.Duration(c.SlowStartMillis)*time.Millisecond, tried, t.rng.IntN))
 }
 
 // named counts an attempt at a given endpoint as in flight.
-func (t *table) named(from *resource.EndpointSet, node string, now time.Time) *endpoint {
+func (t *table) named(service, node string, now time.Time) (*endpoint, httpcall.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, e := range t.set(from, now).list {
+	for _, e := range t.set(service, now).list {
 		if e.Node == node {
-			e.inflight++
-			return e
+			return t.chosen(e)
 		}
 	}
-	return nil
+	return nil, httpcall.Target{}
 }
 
-func (t *table) set(from *resource.EndpointSet, now time.Time) *set {
-	s := t.sets[from.Service]
+func (t *table) chosen(e *endpoint) (*endpoint, httpcall.Target) {
+	if e == nil {
+		return nil, httpcall.Target{}
+	}
+	e.inflight++
+	return e, httpcall.Target{Node: e.Node, Address: e.Address}
+}
+
+// set returns the set of a service. A missing one is made from the current
+// snapshot, read under the lock: a later snapshot is then applied later.
+func (t *table) set(service string, now time.Time) *set {
+	s := t.sets[service]
 	if s == nil {
 		s = &set{zone: t.zone}
-		t.sets[from.Service] = s
+		t.sets[service] = s
+		if from := t.current().Sets[service]; from != nil {
+			s.update(from, now)
+		}
 	}
-	s.update(from, now)
 	return s
 }
 
@@ -85,7 +95,7 @@
 func (t *table) done(service string, e *endpoint, o Outcome, ejectAfter int, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sets[service].done(e, o, ejectAfter, now)
+	return t.set(service, now).done(e, o, ejectAfter, now)
 }
 
 // loaded notes a load that an endpoint reported.
@@ -95,12 +105,14 @@
 	e.load, e.loadAt = load, now
 }
 
-// prune forgets sets and budgets that the snapshot no longer has.
-func (t *table) prune(s *resource.Snapshot) {
+// apply takes over a new snapshot. Snapshots are applied in their order.
+func (t *table) apply(s *resource.Snapshot, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for name := range t.sets {
-		if s.Sets[name] == nil {
+	for name, known := range t.sets {
+		if from := s.Sets[name]; from != nil {
+			known.update(from, now)
+		} else {
 			delete(t.sets, name)
 		}
 	}
--- a/test/dataplane/faults_test.go
+++ b/test/dataplane/faults_test.go
@@ -20,7 +20,13 @@
 // Guards against a planned stop that cuts or loses calls: every node leaves and
 // comes back in turn under load, and no call fails.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Run("callers know", func(t *testing.T) { plannedStop(t, false) })
+	t.Run("callers have not heard", func(t *testing.T) { plannedStop(t, true) })
+}
+
+func plannedStop(t *testing.T, deaf bool) {
 	f := newFleet(t, 9)
+	f.clust.RetryBudgetPercent = 100 // the budget is not what is tested
 	var runs atomic.Int64
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
@@ -31,6 +37,9 @@
 		f.add(fmt.Sprintf("n%d", i), "z1", h)
 	}
 	caller := f.add("caller", "z1", nil)
+	f.mu.Lock()
+	caller.deaf = deaf
+	f.mu.Unlock()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var calls, failed atomic.Int64
@@ -146,6 +155,20 @@
 	for _, n := range f.nodes[1:3] {
 		n.upstream.Close()
 	}
+	// A call that may have run at one endpoint is not told "not run" because another
+	// one refused its retry.
+	var runs atomic.Int64
+	f.add("cuts", "z1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	for i := range 20 {
+		before := runs.Load()
+		if got := caller.call("GET", "north", "/", ""); runs.Load() > before && got.verdict != "may-have-run" {
+			t.Fatalf("call %d ran: %+v", i, got)
+		}
+	}
+	f.setState(f.nodes[4], resource.StateGone)
 	if got := caller.call("POST", "north", "/", "x"); got.status != 503 || got.verdict != "not-run" {
 		t.Fatalf("no upstream is alive: %+v", got)
 	}
--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -35,6 +35,8 @@
 	relay    *relay
 	upstream *httptest.Server
 	endpoint resource.Endpoint
+	// deaf keeps the node from hearing that endpoints drain or are gone.
+	deaf bool
 }
 
 // fleet is a set of nodes with one service "svc" and a route for each of the
@@ -175,7 +177,9 @@
 	}
 	s.Table = resource.NewRouteTable(s.Routes)
 	for _, n := range f.nodes {
-		n.view.set(s)
+		if !n.deaf || n.view.Current() == nil {
+			n.view.set(s)
+		}
 	}
 }
 
