inbound: the round robin passes the turn on

Cause: TestFloodLeavesShareAndLatency with one slot showed slot time of 0.1 s against 19.9 s: an organisation got a new quantum whenever its credit ended and kept its turn for ever. Change: a share gets its quantum once, when the turn reaches it. Conclusion: service time is shared even where slots cannot be.

--- a/plugin/idempotency/table_test.go
+++ b/plugin/idempotency/table_test.go
@@ -36,8 +36,8 @@
 		runs, crashed := 0, false
 		for range 12 {
 			i := 0
-			if crashed { // the backup has become primary
-				i = 1
+			if crashed { // the backup has become primary, or the restarted one is again
+				i = r.IntN(2)
 			}
 			p, b := h[i], h[1-i]
 			p.seq++
--- a/plugin/inbound/admission.go
+++ b/plugin/inbound/admission.go
@@ -186,18 +186,16 @@
 	if quantum == 0 {
 		return nil
 	}
-	for range (debtCalls + 2) * len(a.shares) {
+	for range (debtCalls+2)*len(a.shares) + 1 {
 		s := a.shares[a.next%len(a.shares)]
-		if len(s.queue) > 0 && a.mayStart(s, now) {
-			if s.credit >= s.cost {
-				return s
-			}
-			s.credit = max(s.credit, -debtCalls*quantum) + quantum
-			if s.credit >= s.cost {
-				return s
-			}
+		if s.credit >= s.cost && len(s.queue) > 0 && a.mayStart(s, now) {
+			return s
 		}
+		// The turn passes; the next one gets its quantum once on arrival.
 		a.next = (a.next + 1) % len(a.shares)
+		if s = a.shares[a.next]; len(s.queue) > 0 && a.mayStart(s, now) {
+			s.credit = max(s.credit, -debtCalls*quantum) + quantum
+		}
 	}
 	return nil
 }
