standin, load: stand-in upstream and load generator with a ledger

Cause: end-to-end checks need an upstream that counts executions and a caller that compares each outcome with them. Change: plug-ins standin and load, their programs, core/httpcall (one send per call, verdict by bytes written).

--- /dev/null
+++ b/cmd/celeryyard-upstream/main.go
@@ -0,0 +1,13 @@
+// Command celeryyard-upstream is the project's own stand-in for an upstream.
+package main
+
+import (
+	"os"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/role"
+)
+
+func main() {
+	os.Exit(kernel.Main("celeryyard-upstream", role.Upstream(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/plugin/load/result.go
@@ -0,0 +1,189 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/celeryyard/celeryyard/core/verdict"
+)
+
+// Result is the outcome of a run.
+type Result struct {
+	Run      string   `json:"run"`
+	Settings Settings `json:"settings"`
+	// Seconds is the time from the first arrival to the last outcome.
+	Seconds float64 `json:"seconds"`
+	Calls   int     `json:"calls"`
+	// Succeeded counts calls with a whole answer of their own.
+	Succeeded int `json:"succeeded"`
+	// FailedByVerdict counts the other calls by what is known of their execution.
+	FailedByVerdict map[string]int `json:"failed_by_verdict"`
+	Outcomes        map[string]int `json:"outcomes"`
+	Repeated        int            `json:"repeated"`
+	// Duplicates lists non-idempotent calls that were executed more than once.
+	Duplicates  []string       `json:"duplicates"`
+	Executions  int            `json:"executions"`
+	PerUpstream map[string]int `json:"executions_per_upstream"`
+	Silent      []string       `json:"silent_upstreams"`
+	Groups      []Group        `json:"groups"`
+	Checks      []Check        `json:"checks"`
+	OK          bool           `json:"ok"`
+}
+
+// Group sums up the calls of one organisation and kind.
+type Group struct {
+	Organisation string `json:"organisation"`
+	Kind         Kind   `json:"kind"`
+	Calls        int    `json:"calls"`
+	Succeeded    int    `json:"succeeded"`
+	// FromArrival and FromSend are the latencies of the successes.
+	FromArrival Quantiles `json:"from_arrival"`
+	FromSend    Quantiles `json:"from_send"`
+}
+
+// Quantiles are latencies in milliseconds.
+type Quantiles struct {
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// Histogram returns an empty histogram of microseconds, from 1 µs to 10 minutes
+// with three significant digits.
+func Histogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (10 * time.Minute).Microseconds(), 3)
+}
+
+// QuantilesOf reads a histogram of microseconds.
+func QuantilesOf(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{P50: ms(50), P90: ms(90), P99: ms(99), P999: ms(99.9), Max: float64(h.Max()) / 1000}
+}
+
+// conclude builds the result from the ledger and the counted executions.
+func (l *Load) conclude(c collected, seconds float64) Result {
+	entries := l.Ledger()
+	r := Result{
+		Run: l.run, Settings: *l.s, Seconds: seconds, Calls: len(entries), FailedByVerdict: map[string]int{},
+		Outcomes: map[string]int{}, Duplicates: duplicates(entries, c.counts), Executions: c.total,
+		PerUpstream: c.perUpstream, Silent: c.silent, Groups: group(l.s, entries),
+	}
+	for i := range entries {
+		e := &entries[i]
+		r.Outcomes[e.Outcome]++
+		if e.Attempts > 1 {
+			r.Repeated++
+		}
+		if e.Outcome == outcomeOK {
+			r.Succeeded++
+		} else {
+			r.FailedByVerdict[e.Verdict.String()]++
+		}
+	}
+	complete := len(l.s.Reports) > 0 && len(c.silent) == 0
+	r.Checks = append(compare(entries, c.counts, complete), l.bounds(&r)...)
+	r.OK = true
+	for _, k := range r.Checks {
+		r.OK = r.OK && k.OK
+	}
+	return r
+}
+
+// bounds checks the run against the limits of its settings.
+func (l *Load) bounds(r *Result) []Check {
+	failed := 100 * float64(r.Calls-r.Succeeded) / float64(max(r.Calls, 1))
+	return []Check{
+		{Name: "the generator sent every call", OK: r.Outcomes[outcomeUnsent] == 0 && r.Calls > 0, Checked: r.Calls,
+			Detail: fmt.Sprintf("%d unsent", r.Outcomes[outcomeUnsent])},
+		{Name: "enough stand-ins reported", OK: len(r.Silent) <= l.s.MayBeLost, Checked: len(l.s.Reports),
+			Detail: fmt.Sprintf("%d silent, %d allowed", len(r.Silent), l.s.MayBeLost)},
+		{Name: "failed calls stay within the limit", OK: failed <= l.s.MaxFailedPercent, Checked: r.Calls,
+			Detail: fmt.Sprintf("%.2f %% failed, %.2f %% allowed", failed, l.s.MaxFailedPercent)},
+	}
+}
+
+// group sums up the entries by organisation and kind, in order of both.
+func group(s *Settings, entries []Entry) []Group {
+	type key struct {
+		organisation int
+		kind         Kind
+	}
+	type sums struct {
+		calls, succeeded int
+		arrival, send    *hdrhistogram.Histogram
+	}
+	all := map[key]*sums{}
+	for i := range entries {
+		e := &entries[i]
+		k := key{e.Plan.Organisation, e.Plan.Kind}
+		g := all[k]
+		if g == nil {
+			g = &sums{arrival: Histogram(), send: Histogram()}
+			all[k] = g
+		}
+		g.calls++
+		if e.Outcome == outcomeOK {
+			g.succeeded++
+			_ = g.arrival.RecordValue(e.FromArrival.Microseconds())
+			_ = g.send.RecordValue(e.FromSend.Microseconds())
+		}
+	}
+	groups := make([]Group, 0, len(all))
+	for k, g := range all {
+		groups = append(groups, Group{
+			Organisation: s.Organisations[k.organisation].Name, Kind: k.kind, Calls: g.calls, Succeeded: g.succeeded,
+			FromArrival: QuantilesOf(g.arrival), FromSend: QuantilesOf(g.send),
+		})
+	}
+	sort.Slice(groups, func(i, j int) bool {
+		a, b := groups[i], groups[j]
+		return a.Organisation < b.Organisation || a.Organisation == b.Organisation && a.Kind < b.Kind
+	})
+	return groups
+}
+
+// WriteTable writes the result as a short table.
+func (r *Result) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "run %s, seed %d: %d calls in %.1f s, %d succeeded, %d repeated, %d executions, %d duplicates\n",
+		r.Run, r.Settings.Seed, r.Calls, r.Seconds, r.Succeeded, r.Repeated, r.Executions, len(r.Duplicates))
+	fmt.Fprintf(t, "failed: not-run %d, may-have-run %d; outcomes: %s\n",
+		r.FailedByVerdict[verdict.NotRun.String()], r.FailedByVerdict[verdict.MayHaveRun.String()], listCounts(r.Outcomes))
+	fmt.Fprintln(t, "ORGANISATION\tKIND\tCALLS\tOK\tP50 ms\tP99 ms\tP99.9 ms\tMAX ms\tSEND P99 ms")
+	for _, g := range r.Groups {
+		a := g.FromArrival
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n",
+			g.Organisation, g.Kind, g.Calls, g.Succeeded, a.P50, a.P99, a.P999, a.Max, g.FromSend.P99)
+	}
+	for _, c := range r.Checks {
+		state := "ok"
+		if !c.OK {
+			state = "FAILED"
+		}
+		fmt.Fprintf(t, "%s\t%s (%d) %s\n", state, c.Name, c.Checked, c.Detail)
+	}
+	return t.Flush()
+}
+
+func listCounts(m map[string]int) string {
+	names := make([]string, 0, len(m))
+	for n := range m {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	text := ""
+	for i, n := range names {
+		if i > 0 {
+			text += ", "
+		}
+		text += fmt.Sprintf("%s %d", n, m[n])
+	}
+	return text
+}
--- /dev/null
+++ b/plugin/standin/plugin.go
@@ -0,0 +1,134 @@
+// Package standin is the project's own stand-in for an upstream. It executes
+// calls in a bounded number of slots, counts executions by call ID, and can be
+// slow, cold, overloaded, wrong about itself or faulty on request.
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/event"
+	"github.com/celeryyard/celeryyard/kernel/pool"
+	"github.com/celeryyard/celeryyard/kernel/rank"
+)
+
+var (
+	evListening   = event.Declare(900, zerolog.InfoLevel, "stand-in upstream is listening")
+	evAnnounced   = event.Declare(901, zerolog.InfoLevel, "stand-in upstream is announced to its node")
+	evNotTaken    = event.Declare(902, zerolog.WarnLevel, "node did not take the announcement")
+	evLeft        = event.Declare(903, zerolog.InfoLevel, "stand-in upstream has left its node")
+	evLeaveFailed = event.Declare(904, zerolog.WarnLevel, "node did not confirm that the stand-in upstream has left")
+)
+
+// readHeaderTimeout bounds the reading of request headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Standin is the plug-in.
+type Standin struct {
+	c       *kernel.Context
+	s       *Settings
+	slots   *pool.Pool
+	client  *httpcall.Client
+	servers []*http.Server
+	started time.Time
+	leave   context.CancelFunc
+	wg      sync.WaitGroup
+	// inFlight counts calls that wait for a slot or hold one.
+	inFlight atomic.Int64
+	shed     *metrics.Counter
+	executed *metrics.Counter
+
+	// mu guards the table of executions and what reports and draws depend on.
+	mu     *rank.Mutex
+	runs   *executions
+	rng    *rand.Rand
+	health lagged
+	load   lagged
+}
+
+func newStandin(c *kernel.Context) *Standin {
+	s := c.Settings.(*Settings)
+	p := &Standin{
+		c: c, s: s, client: httpcall.New(s.Slots), mu: rank.New(rank.Load), runs: newExecutions(s.MaxExecutions),
+		rng: c.Rand(), health: lagged{lag: s.Health.Lag.D()}, load: lagged{lag: s.Load.Lag.D()},
+		shed:     c.Metrics.NewCounter("celeryyard_standin_shed_total"),
+		executed: c.Metrics.NewCounter("celeryyard_standin_executions_total"),
+	}
+	c.Metrics.NewGauge("celeryyard_standin_calls", func() float64 { return float64(p.inFlight.Load()) })
+	return p
+}
+
+// Start implements kernel.Plugin.
+func (p *Standin) Start(ctx context.Context) error {
+	p.started = p.c.Clock.Now()
+	p.slots = pool.New(pool.Options{Workers: p.s.Slots, Queue: pool.NewKeyedFIFO(p.s.Slots + p.s.Queue), Now: p.c.Clock.Now})
+	calls := echo.New()
+	calls.GET("/healthz", p.serveHealth)
+	calls.GET("/load", p.serveLoad)
+	calls.Any("/*", p.serveCall)
+	if err := p.listen(p.s.Listen, calls); err != nil {
+		return err
+	}
+	if p.s.Report != "" {
+		report := echo.New()
+		report.GET("/executions", p.serveExecutions)
+		if err := p.listen(p.s.Report, report); err != nil {
+			return err
+		}
+	}
+	ctx, p.leave = context.WithCancel(ctx)
+	if p.s.Node != "" {
+		p.wg.Add(1)
+		go p.announce(ctx)
+	}
+	return nil
+}
+
+func (p *Standin) listen(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	p.servers = append(p.servers, s)
+	p.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			p.c.Fail(err)
+		}
+	}()
+	return nil
+}
+
+// Stop implements kernel.Plugin: it leaves the node, which returns when no call
+// is in flight, and then closes the listeners.
+func (p *Standin) Stop(ctx context.Context) error {
+	if p.leave != nil {
+		p.leave()
+	}
+	p.wg.Wait()
+	if p.s.Node != "" && p.slots != nil {
+		p.withdraw(ctx)
+	}
+	var err error
+	for _, s := range p.servers {
+		err = errors.CombineErrors(err, s.Shutdown(ctx))
+	}
+	if p.slots != nil {
+		err = errors.CombineErrors(err, p.slots.Stop(ctx))
+	}
+	p.client.Close()
+	return err
+}
--- /dev/null
+++ b/plugin/standin/report.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+)
+
+// maxListedDuplicates bounds the duplicates in a report.
+const maxListedDuplicates = 1000
+
+// Executions is the answer to GET /executions.
+type Executions struct {
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+	// Total counts all executions of calls with an ID; Distinct counts the IDs.
+	Total    int `json:"total"`
+	Distinct int `json:"distinct"`
+	// Unlisted counts executions whose IDs are not kept, for lack of room.
+	Unlisted int `json:"unlisted"`
+	// Duplicates holds the IDs executed more than once; at most 1,000.
+	Duplicates map[string]int `json:"duplicates"`
+	// Counts holds the executions of each ID that starts with the parameter
+	// "prefix"; it is given only for a request with that parameter.
+	Counts map[string]int `json:"counts,omitempty"`
+}
+
+func (p *Standin) serveExecutions(e echo.Context) error {
+	return e.JSON(http.StatusOK, p.Executions(e.QueryParam("prefix")))
+}
+
+// Executions returns the executions counted so far, with the count of each ID
+// that starts with prefix unless prefix is empty.
+func (p *Standin) Executions(prefix string) Executions {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := Executions{
+		Service: p.s.Service, Instance: p.c.Instance.Name, Total: p.runs.total,
+		Distinct: len(p.runs.counts), Unlisted: p.runs.unlisted, Duplicates: map[string]int{},
+	}
+	for id, n := range p.runs.duplicates {
+		if len(r.Duplicates) >= maxListedDuplicates {
+			break
+		}
+		r.Duplicates[id] = n
+	}
+	if prefix == "" {
+		return r
+	}
+	r.Counts = map[string]int{}
+	for id, n := range p.runs.counts {
+		if strings.HasPrefix(id, prefix) {
+			r.Counts[id] = n
+		}
+	}
+	return r
+}
+
+func (p *Standin) serveHealth(e echo.Context) error {
+	now := p.c.Clock.Now()
+	actual := 0.0
+	if now.Sub(p.started) >= p.s.ColdStart.NotReady.D() {
+		actual = 1
+	}
+	p.mu.Lock()
+	ok := p.health.read(now, actual) > 0
+	p.mu.Unlock()
+	if p.s.Health.Lie != "" {
+		ok = p.s.Health.Lie == "ok"
+	}
+	if !ok {
+		return e.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return e.String(http.StatusOK, "ok\n")
+}
+
+func (p *Standin) serveLoad(e echo.Context) error {
+	return e.JSON(http.StatusOK, map[string]float64{"application_utilization": p.utilisation()})
+}
+
+// utilisation returns the share of the slots in use as the stand-in reports it.
+func (p *Standin) utilisation() float64 {
+	if p.s.Load.Lies {
+		return p.s.Load.Lie
+	}
+	actual := float64(p.inFlight.Load()) / float64(p.s.Slots)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.load.read(p.c.Clock.Now(), actual)
+}
