--- a/core/httpcall/httpcall.go
+++ b/core/httponce/httponce.go
@@ -1,7 +1,7 @@
-// Package httpcall makes HTTP/1.1 calls that are never sent twice. http.Transport
+// Package httponce makes HTTP/1.1 calls that are never sent twice. http.Transport
 // is not used for them, because it re-sends idempotent requests, and any request
 // with an Idempotency-Key, when a reused connection fails.
-package httpcall
+package httponce
 
 import (
 	"bufio"
--- a/plugin/load/collect.go
+++ b/plugin/load/collect.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
 
-	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httponce"
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/plugin/standin"
 )
@@ -78,8 +78,8 @@
 // maxReport bounds the bytes of a report: about 1,000,000 IDs.
 const maxReport = 64 << 20
 
-func reportClient() *httpcall.Client {
-	c := httpcall.New(0)
+func reportClient() *httponce.Client {
+	c := httponce.New(0)
 	c.MaxBody = maxReport
 	return c
 }
--- a/plugin/load/plugin.go
+++ b/plugin/load/plugin.go
@@ -12,7 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
-	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httponce"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/pool"
@@ -30,9 +30,9 @@
 	c      *kernel.Context
 	s      *Settings
 	run    string
-	client *httpcall.Client
+	client *httponce.Client
 	// reports fetches the reports, which are much longer than answers.
-	reports *httpcall.Client
+	reports *httponce.Client
 	calls   *pool.Pool
 	cancel  context.CancelFunc
 	done    chan struct{}
@@ -47,7 +47,7 @@
 func newLoad(c *kernel.Context) *Load {
 	s := c.Settings.(*Settings)
 	l := &Load{
-		c: c, s: s, run: s.Run, client: httpcall.New(s.MaxInFlight), reports: reportClient(), done: make(chan struct{}),
+		c: c, s: s, run: s.Run, client: httponce.New(s.MaxInFlight), reports: reportClient(), done: make(chan struct{}),
 		mu: rank.New(rank.Load), sent: c.Metrics.NewCounter("celeryyard_load_calls_total"),
 	}
 	if l.run == "" {
--- a/plugin/load/send.go
+++ b/plugin/load/send.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httponce"
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/plugin/standin/answer"
 )
@@ -101,7 +101,7 @@
 
 // judge classifies an answer. A success counts only with the body that belongs
 // to the call. An answer without a verdict may have run.
-func judge(id string, size int, res *httpcall.Result) attempt {
+func judge(id string, size int, res *httponce.Result) attempt {
 	a := attempt{upstream: res.Header.Get(answer.HeaderUpstream)}
 	if res.Status == http.StatusOK {
 		a.outcome, a.verdict, a.err = outcomeOK, verdict.Ran, answer.Check(id, size, res.Body)
--- a/plugin/standin/plugin.go
+++ b/plugin/standin/plugin.go
@@ -17,7 +17,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
-	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httponce"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/pool"
@@ -40,7 +40,7 @@
 	c       *kernel.Context
 	s       *Settings
 	slots   *pool.Pool
-	client  *httpcall.Client
+	client  *httponce.Client
 	servers []*http.Server
 	started time.Time
 	leave   context.CancelFunc
@@ -61,7 +61,7 @@
 func newStandin(c *kernel.Context) *Standin {
 	s := c.Settings.(*Settings)
 	p := &Standin{
-		c: c, s: s, client: httpcall.New(s.Slots), mu: rank.New(rank.Load), runs: newExecutions(s.MaxExecutions),
+		c: c, s: s, client: httponce.New(s.Slots), mu: rank.New(rank.Load), runs: newExecutions(s.MaxExecutions),
 		rng: c.Rand(), health: lagged{lag: s.Health.Lag.D()}, load: lagged{lag: s.Load.Lag.D()},
 		shed:     c.Metrics.NewCounter("celeryyard_standin_shed_total"),
 		executed: c.Metrics.NewCounter("celeryyard_standin_executions_total"),
--- a/plugin/standin/standin_test.go
+++ b/plugin/standin/standin_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httponce"
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
 	"github.com/celeryyard/celeryyard/plugin/standin"
@@ -58,7 +58,7 @@
 	text := fmt.Sprintf(`{"instance": {"name": "u"}, "standin": {"service": "s", "listen": %q, "report": %q,
 		"service_time": {"distribution": "constant", "mean": "1ms"}, "chain": {"node": %q, "host": "s"}}}`, listen, report, listen)
 	k, _ := kerneltest.Start(t, []string{"standin"}, text, false)
-	c := httpcall.New(4)
+	c := httponce.New(4)
 	kerneltest.Wait(t, 5*time.Second, "listener", func() bool {
 		_, err := call(c, listen, "warm", "", 0)
 		return err == nil
@@ -116,7 +116,7 @@
 	}
 }
 
-func call(c *httpcall.Client, address, id, fault string, depth int) (*httpcall.Result, error) {
+func call(c *httponce.Client, address, id, fault string, depth int) (*httponce.Result, error) {
 	req, err := http.NewRequest(http.MethodGet, "http://s/", nil)
 	if err != nil {
 		return nil, err
