--- /dev/null
+++ b/test/harness/build.go
@@ -0,0 +1,90 @@
+package harness
+
+import (
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"testing"
+)
+
+// ip is the loopback address on which all processes listen. Outgoing loopback
+// connections have the source 127.0.0.1, so their local ports never take the
+// port of a process that is being restarted.
+const ip = "127.1.0.1"
+
+var build struct {
+	once sync.Once
+	dir  string
+	err  error
+	out  []byte
+}
+
+// Binaries returns the folder with the programs. It builds them on the first
+// call; the environment variable CELERYYARD_BIN names a folder of built ones.
+func Binaries(t testing.TB) string {
+	t.Helper()
+	if dir := os.Getenv("CELERYYARD_BIN"); dir != "" {
+		return dir
+	}
+	build.once.Do(func() {
+		if build.dir, build.err = os.MkdirTemp("", "celeryyard-bin-"); build.err != nil {
+			return
+		}
+		cmd := exec.Command("go", "build", "-o", build.dir+"/", "./cmd/...")
+		cmd.Dir = Root()
+		build.out, build.err = cmd.CombinedOutput()
+	})
+	if build.err != nil {
+		t.Fatalf("build: %v\n%s", build.err, build.out)
+	}
+	return build.dir
+}
+
+// Root returns the root folder of the repository.
+func Root() string {
+	_, file, _, _ := runtime.Caller(0)
+	return filepath.Join(filepath.Dir(file), "..", "..")
+}
+
+// Main runs the tests of a package and removes the built programs. It is called
+// from TestMain.
+func Main(m *testing.M) int {
+	code := m.Run()
+	if build.dir != "" {
+		_ = os.RemoveAll(build.dir)
+	}
+	return code
+}
+
+var ports struct {
+	sync.Mutex
+	taken map[string]bool
+}
+
+// Address returns a free loopback address IP:port. No two calls in one test
+// program return the same one.
+func Address(t testing.TB) string {
+	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.taken == nil {
+		ports.taken = map[string]bool{}
+	}
+	for range 100 {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := l.Addr().String()
+		_ = l.Close()
+		if !ports.taken[a] {
+			ports.taken[a] = true
+			return a
+		}
+	}
+	t.Fatal("no free port found")
+	return ""
+}
