distribution, discovery, session, view, announce, trace: first version

Cause: nodes had no way to get configuration and endpoints. Change: sessions with admission, deltas and endpoint sets; the endpoint table between control instances; the node's session, view and announcer; a recorder of messages. The catalog and the log are fakes in tests. Measured: go test -race -tags lockcheck ./plugin/distribution passes: full set, delta, removal, endpoint sets, planned stop, loss of an instance.

--- /dev/null
+++ b/plugin/discovery/setup.go
@@ -0,0 +1,63 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "discovery",
+		Needs: []string{"peer"},
+		After: []string{"trace"},
+		Settings: func() any {
+			return &Settings{
+				Window: ms(20), Grace: ms(5000), Heartbeat: ms(1000), PeerTimeout: ms(4000),
+				SpreadTimeout: ms(1000), SettleTimeout: ms(5000), TombstoneTTL: settings.Duration(2 * time.Hour),
+			}
+		},
+		New: func(c *kernel.Context) (kernel.Plugin, error) { return newDiscovery(c), nil },
+	})
+}
+
+func ms(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Millisecond) }
+
+// Settings configures the plug-in.
+type Settings struct {
+	// Window is the time over which changes are gathered before they are passed
+	// on. Withdrawals and draining upstreams are passed on at once.
+	Window settings.Duration `json:"window"`
+	// Grace is the time between the end of a node's session and the loss of its lease.
+	Grace settings.Duration `json:"grace"`
+	// Heartbeat is the longest silence towards another control instance.
+	Heartbeat settings.Duration `json:"heartbeat"`
+	// PeerTimeout is the silence after which the records of another control
+	// instance are marked stale.
+	PeerTimeout settings.Duration `json:"peer_timeout"`
+	// SpreadTimeout bounds the wait for other instances before an announcement of
+	// a draining upstream is answered.
+	SpreadTimeout settings.Duration `json:"spread_timeout"`
+	// SettleTimeout bounds the wait after the start for the records of all other
+	// instances; until then nodes keep the endpoint sets that they hold.
+	SettleTimeout settings.Duration `json:"settle_timeout"`
+	// TombstoneTTL is how long withdrawn and lost records are remembered. It
+	// exceeds the one hour for which regions are partitioned at times.
+	TombstoneTTL settings.Duration `json:"tombstone_ttl"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	switch {
+	case s.Heartbeat <= 0:
+		return settings.Invalid("heartbeat", "must be positive")
+	case s.PeerTimeout < 2*s.Heartbeat:
+		return settings.Invalid("peer_timeout", "must be at least twice heartbeat")
+	case s.Grace <= 0:
+		return settings.Invalid("grace", "must be positive")
+	case s.TombstoneTTL <= s.Grace:
+		return settings.Invalid("tombstone_ttl", "must exceed grace")
+	}
+	return nil
+}
--- /dev/null
+++ b/plugin/distribution/fakes_test.go
@@ -0,0 +1,264 @@
+package distribution_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+	"github.com/celeryyard/celeryyard/plugin/announce"
+	"github.com/celeryyard/celeryyard/plugin/discovery"
+	"github.com/celeryyard/celeryyard/plugin/distribution"
+	"github.com/celeryyard/celeryyard/plugin/peer"
+	"github.com/celeryyard/celeryyard/plugin/view"
+
+	_ "github.com/celeryyard/celeryyard/plugin/session" // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/trace"   // registers itself
+)
+
+func init() {
+	kernel.Register(kernel.Registration{Name: "quorum", New: func(c *kernel.Context) (kernel.Plugin, error) {
+		return &fakeLog{c: c}, nil
+	}})
+	kernel.Register(kernel.Registration{Name: "catalog", New: func(c *kernel.Context) (kernel.Plugin, error) {
+		return &fakeCatalog{c: c, now: map[resource.Key]resource.Resource{}, gone: map[resource.Key]gone{}}, nil
+	}})
+}
+
+type noLife struct{}
+
+func (noLife) Start(context.Context) error { return nil }
+func (noLife) Stop(context.Context) error  { return nil }
+
+// fakeLog stands in for the replicated log. Cut makes barriers fail.
+type fakeLog struct {
+	noLife
+	c        *kernel.Context
+	mu       sync.Mutex
+	released resource.Version
+	cut      bool
+	barriers int
+	slow     time.Duration
+}
+
+func (l *fakeLog) Attach(api.StateMachine) {}
+func (l *fakeLog) Propose(_ []byte, _ time.Duration, done func(any, error)) {
+	done(nil, errors.New("fake log takes no proposals"))
+}
+
+func (l *fakeLog) Barrier(timeout time.Duration, done func(error)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.barriers++
+	if l.cut {
+		l.c.After(timeout, "fake", func() { done(errors.New("no quorum")) })
+		return
+	}
+	l.c.After(l.slow, "fake", func() { done(nil) })
+}
+
+func (l *fakeLog) Status() api.QuorumStatus {
+	return api.QuorumStatus{Role: "follower", Confirmed: l.c.Clock.Now()}
+}
+
+func (l *fakeLog) Release(v resource.Version, done func(error)) {
+	l.mu.Lock()
+	l.released = max(l.released, v)
+	l.mu.Unlock()
+	l.c.After(0, "fake", func() { done(nil) })
+}
+
+func (l *fakeLog) Released() resource.Version {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.released
+}
+
+type gone struct {
+	at      resource.Version
+	service string
+}
+
+// fakeCatalog stands in for the accepted configuration.
+type fakeCatalog struct {
+	noLife
+	c        *kernel.Context
+	mu       sync.Mutex
+	version  resource.Version
+	horizon  resource.Version
+	now      map[resource.Key]resource.Resource
+	gone     map[resource.Key]gone
+	watchers []func(resource.Version)
+}
+
+func (f *fakeCatalog) Version() resource.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+func (f *fakeCatalog) Watch(w func(resource.Version)) { f.watchers = append(f.watchers, w) }
+
+func (f *fakeCatalog) Delta(from resource.Version, services map[string]bool) resource.Delta {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from > f.version || from < f.horizon {
+		from = 0
+	}
+	d := resource.Delta{From: from, To: f.version}
+	for _, r := range f.now {
+		if r.Changed > from && (services == nil || services[f.service(r)]) {
+			d.Upserts = append(d.Upserts, r)
+		}
+	}
+	for k, g := range f.gone {
+		if from > 0 && g.at > from && (services == nil || services[g.service]) {
+			d.Removes = append(d.Removes, k)
+		}
+	}
+	return d
+}
+
+func (f *fakeCatalog) service(r resource.Resource) string {
+	if r.Cluster != nil {
+		return r.Cluster.Service
+	}
+	return f.now[resource.Key{Kind: resource.KindCluster, Name: r.Route.Cluster}].Cluster.Service
+}
+
+// put adds or changes a cluster with one route and returns the new version.
+func (f *fakeCatalog) put(team, service string, timeout int) resource.Version {
+	return f.change(func(v resource.Version) {
+		name := team + "/" + service
+		c := &resource.Cluster{Name: name, Organisation: "tacto-norte", Team: team, Service: service, RetryBudgetPercent: 20, SlowStartMillis: 5000, EjectAfter: 5}
+		r := &resource.Route{Name: name, Organisation: "tacto-norte", Team: team, Match: resource.Match{Host: team + ".example", PathPrefix: "/" + service}, Cluster: name, TimeoutMillis: timeout, MaxAttempts: 3}
+		ck, rk := resource.Key{Kind: resource.KindCluster, Name: name}, resource.Key{Kind: resource.KindRoute, Name: name}
+		if _, ok := f.now[ck]; !ok {
+			f.now[ck] = resource.Resource{Changed: v, Cluster: c}
+		}
+		f.now[rk] = resource.Resource{Changed: v, Route: r}
+		delete(f.gone, ck)
+		delete(f.gone, rk)
+	})
+}
+
+func (f *fakeCatalog) remove(team, service string) resource.Version {
+	return f.change(func(v resource.Version) {
+		for _, kind := range []resource.Kind{resource.KindCluster, resource.KindRoute} {
+			k := resource.Key{Kind: kind, Name: team + "/" + service}
+			delete(f.now, k)
+			f.gone[k] = gone{v, service}
+		}
+	})
+}
+
+func (f *fakeCatalog) change(apply func(v resource.Version)) resource.Version {
+	f.mu.Lock()
+	f.version++
+	v := f.version
+	apply(v)
+	f.mu.Unlock()
+	for _, w := range f.watchers {
+		f.c.Go("fake/watch", func() { w(v) })
+	}
+	return v
+}
+
+// fleet is a set of control instances and nodes in this process.
+type fleet struct {
+	t       testing.TB
+	key     string
+	members []peer.Member
+	nodes   int
+}
+
+func newFleet(t testing.TB, zones ...string) *fleet {
+	f := &fleet{t: t, key: kerneltest.KeyFile(t)}
+	for i, z := range zones {
+		f.members = append(f.members, peer.Member{Name: fmt.Sprintf("control-%d", i), Address: kerneltest.FreeAddress(t), AvailabilityZone: z})
+	}
+	return f
+}
+
+func (f *fleet) instances() string {
+	text := ""
+	for i, m := range f.members {
+		if i > 0 {
+			text += ","
+		}
+		text += fmt.Sprintf(`{"name": %q, "address": %q, "availability_zone": %q}`, m.Name, m.Address, m.AvailabilityZone)
+	}
+	return "[" + text + "]"
+}
+
+// control is one control instance of a fleet.
+type control struct {
+	*kernel.Kernel
+	catalog      *fakeCatalog
+	log          *fakeLog
+	discovery    *discovery.Discovery
+	distribution *distribution.Distribution
+	stop         func()
+}
+
+func (f *fleet) control(i int, extra string) *control {
+	m := f.members[i]
+	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q, "seed": %d},
+		"peer": {"listen": %q, "instances": %s}%s}`, m.Name, m.AvailabilityZone, f.key, i+1, m.Address, f.instances(), extra)
+	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "distribution"}, text, false)
+	return &control{
+		Kernel: k, catalog: k.Service("catalog").(*fakeCatalog), log: k.Service("quorum").(*fakeLog),
+		discovery: k.Service("discovery").(*discovery.Discovery), distribution: k.Service("distribution").(*distribution.Distribution), stop: stop,
+	}
+}
+
+// node is one node of a fleet.
+type node struct {
+	*kernel.Kernel
+	name     string
+	view     *view.View
+	announce *announce.Announce
+	peer     *peer.Peer
+	stop     func()
+}
+
+// node starts a node; service names its upstream, empty for none.
+func (f *fleet) node(name, zone, service, services, extra string) *node {
+	f.nodes++
+	up := ""
+	if service != "" {
+		up = fmt.Sprintf(`, "announce": {"address": "127.0.0.1:%d", "linger": "50ms", "upstream": {"service": %q, "address": "127.0.0.1:9", "slots": 9}}`, 20000+f.nodes, service)
+	}
+	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "region": "cantabrico", "fleet_key_file": %q, "workers": 1, "queue_jobs": 256, "seed": %d},
+		"peer": {"instances": %s}, "session": {"services": %s%s}%s}`, name, zone, f.key, 100+f.nodes, f.instances(), services, extra, up)
+	k, stop := kerneltest.Start(f.t, []string{"peer", "view", "session", "announce"}, text, false)
+	return &node{
+		Kernel: k, name: name, view: k.Service("view").(*view.View), announce: k.Service("announce").(*announce.Announce),
+		peer: k.Service("peer").(*peer.Peer), stop: stop,
+	}
+}
+
+func (n *node) version() resource.Version {
+	if s := n.view.Current(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// endpoints returns the number of endpoints of a set that the node holds; -1
+// when it does not hold the set.
+func (n *node) endpoints(service string) int {
+	if s := n.view.Current(); s != nil && s.Sets[service] != nil {
+		return len(s.Sets[service].Endpoints)
+	}
+	return -1
+}
+
+const all = `["*"]`
--- /dev/null
+++ b/plugin/distribution/setup.go
@@ -0,0 +1,65 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "distribution",
+		Needs: []string{"peer", "quorum", "catalog", "discovery"},
+		After: []string{"admin", "trace"},
+		Settings: func() any {
+			return &Settings{
+				NodeTimeout: ms(5000), BarrierTimeout: ms(1000), BarrierRetry: ms(500), AckTimeout: ms(10000),
+				ResumeRate: 500, ResumeBurst: 100, StatusTimeout: ms(2000),
+			}
+		},
+		New: func(c *kernel.Context) (kernel.Plugin, error) { return newDistribution(c), nil },
+	})
+}
+
+func ms(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Millisecond) }
+
+// Settings configures the plug-in.
+type Settings struct {
+	// Coalesce is the time over which changes are gathered into one update. Zero
+	// gives the shortest convergence time, higher values fewer bytes.
+	Coalesce settings.Duration `json:"coalesce"`
+	// NodeTimeout is the silence after which a session is ended.
+	NodeTimeout settings.Duration `json:"node_timeout"`
+	// BarrierTimeout bounds one linearizable read for nodes without state, and
+	// BarrierRetry is the pause after a failed one.
+	BarrierTimeout settings.Duration `json:"barrier_timeout"`
+	BarrierRetry   settings.Duration `json:"barrier_retry"`
+	// AckTimeout is how long a node may leave an update unacknowledged.
+	AckTimeout settings.Duration `json:"ack_timeout"`
+	// ResumeRate and ResumeBurst pace the first updates of sessions, in sessions a
+	// second, so that a mass reconnect does not fill the worker pool.
+	ResumeRate  float64 `json:"resume_rate"`
+	ResumeBurst int     `json:"resume_burst"`
+	// StatusTimeout bounds an answer to distribution.status from this instance.
+	StatusTimeout settings.Duration `json:"status_timeout"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	switch {
+	case s.NodeTimeout <= 0:
+		return settings.Invalid("node_timeout", "must be positive")
+	case s.BarrierTimeout <= 0:
+		return settings.Invalid("barrier_timeout", "must be positive")
+	case s.BarrierRetry <= 0:
+		return settings.Invalid("barrier_retry", "must be positive")
+	case s.AckTimeout <= 0:
+		return settings.Invalid("ack_timeout", "must be positive")
+	case s.ResumeRate <= 0:
+		return settings.Invalid("resume_rate", "must be positive")
+	case s.ResumeBurst < 1:
+		return settings.Invalid("resume_burst", "%d is below 1", s.ResumeBurst)
+	}
+	return nil
+}
--- /dev/null
+++ b/plugin/session/setup.go
@@ -0,0 +1,56 @@
+package session
+
+import (
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/peerapi"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "session",
+		Needs: []string{"peer", "view"},
+		After: []string{"admin", "trace"},
+		Settings: func() any {
+			return &Settings{
+				Services: []string{peerapi.AllServices}, PingInterval: ms(2000), PingTimeout: ms(3000),
+				HomeRetry: ms(30000),
+			}
+		},
+		New: func(c *kernel.Context) (kernel.Plugin, error) { return newSession(c), nil },
+	})
+}
+
+func ms(n int) settings.Duration { return settings.Duration(time.Duration(n) * time.Millisecond) }
+
+// Settings configures the plug-in.
+type Settings struct {
+	// Services lists the services whose routes and endpoints the node holds; "*"
+	// stands for all.
+	Services []string `json:"services"`
+	// PingInterval is the pause between heartbeats, PingTimeout the wait for the
+	// answer before the connection is given up.
+	PingInterval settings.Duration `json:"ping_interval"`
+	PingTimeout  settings.Duration `json:"ping_timeout"`
+	// HomeRetry is the mean pause between attempts to return from another zone's
+	// instance to one of the own zone; each pause is drawn from half to one and a
+	// half of it.
+	HomeRetry settings.Duration `json:"home_retry"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	switch {
+	case len(s.Services) == 0:
+		return settings.Invalid("services", "must name a service or \"*\"")
+	case s.PingInterval <= 0:
+		return settings.Invalid("ping_interval", "must be positive")
+	case s.PingTimeout <= 0:
+		return settings.Invalid("ping_timeout", "must be positive")
+	case s.HomeRetry <= 0:
+		return settings.Invalid("home_retry", "must be positive")
+	}
+	return nil
+}
--- a/role/role.go
+++ b/role/role.go
@@ -3,12 +3,18 @@
 package role
 
 import (
-	_ "github.com/celeryyard/celeryyard/plugin/admin" // registers itself
-	_ "github.com/celeryyard/celeryyard/plugin/peer"  // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/admin"        // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/announce"     // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/discovery"    // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/distribution" // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/peer"         // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/session"      // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/trace"        // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/view"         // registers itself
 )
 
 // Control lists the plug-ins of a control instance.
-func Control() []string { return []string{"admin", "peer"} }
+func Control() []string { return []string{"admin", "trace", "peer", "discovery", "distribution"} }
 
 // Node lists the plug-ins of the process beside an upstream.
-func Node() []string { return []string{"admin", "peer"} }
+func Node() []string { return []string{"admin", "trace", "peer", "view", "session", "announce"} }
