--- /dev/null
+++ b/cmd/celeryyard/main_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/api/apitest"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+	_ "github.com/celeryyard/celeryyard/plugin/operator" // registers itself
+)
+
+func init() { apitest.RegisterQuorum() }
+
+// operator runs the command with the token of one operator.
+type operator struct {
+	t      *testing.T
+	server []string
+	token  string
+}
+
+func newServer(t *testing.T) (addr string, log *apitest.Quorum) {
+	t.Helper()
+	addr = kerneltest.FreeAddress(t)
+	text := fmt.Sprintf(`{"instance": {"name": "a"}, "operator": {"listen": %q, "tokens_file": "../../examples/operators.json"}}`, addr)
+	k, _ := kerneltest.Start(t, []string{"quorum", "catalog", "operator"}, text, false)
+	return addr, k.Service("quorum").(*apitest.Quorum)
+}
+
+func newOperator(t *testing.T, token string, server ...string) *operator {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(path, []byte(token+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return &operator{t, server, path}
+}
+
+// run returns the output of the command and fails when its exit code differs.
+func (o *operator) run(code int, args ...string) string {
+	o.t.Helper()
+	args = append(args, "--token-file", o.token)
+	for _, s := range o.server {
+		args = append(args, "--server", s)
+	}
+	var stdout, stderr bytes.Buffer
+	if got := runMain(context.Background(), args, &stdout, &stderr); got != code {
+		o.t.Fatalf("%v: exit code %d, want %d\n%s%s", args, got, code, &stdout, &stderr)
+	}
+	return stdout.String() + stderr.String()
+}
+
+func (o *operator) has(out, want string) {
+	o.t.Helper()
+	if !strings.Contains(out, want) {
+		o.t.Fatalf("output lacks %q:\n%s", want, out)
+	}
+}
+
+// Guards against example files that the system refuses, and against commands
+// whose exit code does not tell the outcome.
+func TestExamplesAndExitCodes(t *testing.T) {
+	addr, _ := newServer(t)
+	ines := newOperator(t, "example-token-tacto-norte-ines", "127.0.0.1:1", addr)
+	mojca := newOperator(t, "example-token-kranjc-mojca", addr)
+	for _, name := range []string{"service-access", "partner-access"} {
+		ines.run(0, "template", "put", "../../examples/templates/"+name+".json")
+	}
+	for _, name := range []string{"tacto-catalogo", "tacto-taller", "tacto-partners"} {
+		ines.run(0, "team", "put", "../../examples/teams/"+name+".json")
+	}
+	for _, name := range []string{"kranjc-orders", "kranjc-workroom", "kranjc-partners"} {
+		mojca.run(0, "team", "put", "../../examples/teams/"+name+".json")
+	}
+	out := mojca.run(3, "team", "put", "../../examples/teams/kranjc-orders.json", "--id", "again")
+	mojca.has(out, "exists")
+	mojca.has(mojca.run(3, "change", "status", "again"), "refused")
+	mojca.has(mojca.run(0, "explain", "--change", "again"), "advice")
+	mojca.run(4, "change", "status", "never-sent")
+	mojca.run(3, "team", "revise", "../../examples/teams/kranjc-orders.json", "--expected-revision", "1")
+	mojca.run(0, "team", "revise", "../../examples/teams/kranjc-orders.json", "--expected-revision", "6")
+	mojca.run(0, "team", "withdraw", "kranjc-workroom", "--expected-revision", "7")
+	mojca.has(mojca.run(0, "explain", "--host", "orders.kranjc.example", "--method", "POST"), "kranjc-orders/change")
+	mojca.has(mojca.run(0, "explain", "--host", "catalogo.tacto-norte.example"), "no route")
+	mojca.has(mojca.run(0, "history", "--output", "json"), `"version": 10`)
+	mojca.has(mojca.run(0, "audit"), "revision_mismatch")
+	mojca.has(mojca.run(0, "team", "list"), "kranjc-partners")
+	mojca.has(mojca.run(0, "template", "list"), "partner-access")
+	mojca.has(mojca.run(0, "status"), "leader")
+}
+
+// Guards against usage errors that are sent to a server or exit like failures.
+func TestUsage(t *testing.T) {
+	o := newOperator(t, "example-token-kranjc-mojca", "127.0.0.1:1")
+	o.has(o.run(0, "--help"), "Available commands")
+	o.has(o.run(0, "--version"), kernel.Version)
+	for _, args := range [][]string{
+		{"team", "put"}, {"team", "withdraw", "x"}, {"nonsense"}, {"status", "extra"}, {"status", "--timeout", "soon"},
+		{"status", "--server", "localhost:1"}, {"team", "put", "/no/such/file"}, {"explain"}, {"status", "--output", "xml"},
+	} {
+		o.run(2, args...)
+	}
+	o.run(1, "team", "withdraw", "x", "--expected-revision", "1", "--timeout", "300ms")
+}
+
+// Guards against a lost answer that ends the command undecided, or refused,
+// although the change was accepted; and against two executions of one change.
+func TestUnclearOutcomeIsResentUntilDecided(t *testing.T) {
+	addr, log := newServer(t)
+	o := newOperator(t, "example-token-tacto-norte-ines", addr)
+	file := "../../examples/templates/service-access.json"
+	log.SetFault(apitest.LoseAnswer)
+	out := o.run(4, "template", "put", file, "--id", "first", "--timeout", "500ms")
+	o.has(out, "--id first")
+	timer := time.AfterFunc(500*time.Millisecond, func() { log.SetFault(apitest.None) })
+	defer timer.Stop()
+	o.has(o.run(0, "template", "put", file, "--id", "first"), "accepted")
+	o.has(o.run(0, "history", "--output", "json"), `"current_version": 1`)
+}
+
+// Guards against --wait that reports a change as in force while a node or an
+// instance is behind or cannot be asked.
+func TestInForceNeedsEveryInstanceAndNode(t *testing.T) {
+	good := api.InstanceStatus{Reachable: true, Version: 5, Nodes: 2, LowestVersion: 5}
+	for _, tc := range []struct {
+		name   string
+		change func(i *api.InstanceStatus)
+		want   bool
+	}{
+		{"all current", func(*api.InstanceStatus) {}, true},
+		{"no nodes", func(i *api.InstanceStatus) { i.Nodes, i.LowestVersion = 0, 0 }, true},
+		{"node behind", func(i *api.InstanceStatus) { i.LowestVersion, i.Behind = 4, 1 }, false},
+		{"instance behind", func(i *api.InstanceStatus) { i.Version, i.LowestVersion = 4, 4 }, false},
+		{"instance silent", func(i *api.InstanceStatus) { i.Reachable = false }, false},
+	} {
+		other := good
+		tc.change(&other)
+		if line, done := progress(&statusView{Fleet: []api.InstanceStatus{good, other}}, 5); done != tc.want {
+			t.Errorf("%s: in force %v: %s", tc.name, done, line)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/celeryyard/table.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/change"
+	"github.com/celeryyard/celeryyard/core/resource"
+)
+
+// table is a response that prints itself in columns.
+type table interface{ columns(w io.Writer) }
+
+// print writes v in the form that the operator asked for. raw is the response of
+// the server, or nil when v did not come from one.
+func (a *app) print(v any, raw []byte) error {
+	if a.flags.Output == "json" {
+		var err error
+		if raw == nil {
+			if raw, err = json.Marshal(v); err != nil {
+				return err
+			}
+		}
+		text := jsontext.Value(raw)
+		if err := text.Indent(); err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(a.stdout, "%s\n", text)
+		return err
+	}
+	w := tabwriter.NewWriter(a.stdout, 0, 8, 2, ' ', 0)
+	if out, ok := v.(*change.Outcome); ok {
+		printOutcome(w, out)
+	} else {
+		v.(table).columns(w)
+	}
+	return w.Flush()
+}
+
+func printOutcome(w io.Writer, out *change.Outcome) {
+	fmt.Fprintf(w, "change\t%s\nstate\t%s\n", out.ID, out.State)
+	if out.Version > 0 {
+		fmt.Fprintf(w, "version\t%d\n", out.Version)
+	}
+	if out.Revision > 0 {
+		fmt.Fprintf(w, "revision\t%d\n", out.Revision)
+	}
+	if out.Reason != "" {
+		fmt.Fprintf(w, "reason\t%s\n", out.Reason)
+	}
+	if out.Text != "" {
+		fmt.Fprintf(w, "text\t%s\n", out.Text)
+	}
+}
+
+// freshness is the part of a response that tells how current it is.
+type freshness struct {
+	Current   resource.Version `json:"current_version"`
+	Stale     bool             `json:"stale"`
+	AgeMillis int64            `json:"age_ms"`
+	Notice    string           `json:"notice"`
+}
+
+func (f *freshness) note(w io.Writer) {
+	if f.Stale {
+		fmt.Fprintf(w, "STALE: %s\n", f.Notice)
+	}
+}
+
+type templatesView struct {
+	freshness
+	Templates []struct {
+		Template resource.Template `json:"template"`
+		Revision uint64            `json:"revision"`
+	} `json:"templates"`
+}
+
+func (v *templatesView) columns(w io.Writer) {
+	v.note(w)
+	fmt.Fprintln(w, "TEMPLATE\tREVISION\tPARAMETERS\tROUTES\tCLUSTERS")
+	for _, t := range v.Templates {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", t.Template.Name, t.Revision, len(t.Template.Parameters), len(t.Template.Routes), len(t.Template.Clusters))
+	}
+}
+
+type teamsView struct {
+	freshness
+	Teams []struct {
+		Team     resource.Team      `json:"team"`
+		Revision uint64             `json:"revision"`
+		Routes   []resource.Route   `json:"routes"`
+		Clusters []resource.Cluster `json:"clusters"`
+	} `json:"teams"`
+}
+
+func (v *teamsView) columns(w io.Writer) {
+	v.note(w)
+	fmt.Fprintln(w, "TEAM\tREVISION\tTEMPLATE\tROUTES\tCLUSTERS")
+	for _, t := range v.Teams {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%d\t%d\n", t.Team.Name, t.Revision, t.Team.Template, len(t.Routes), len(t.Clusters))
+	}
+}
+
+type recordsView struct {
+	freshness
+	Records []change.Record `json:"records"`
+	Next    uint64          `json:"next"`
+}
+
+func (v *recordsView) columns(w io.Writer) {
+	v.note(w)
+	fmt.Fprintln(w, "SEQ\tTIME\tOPERATOR\tORGANISATION\tACTION\tNAME\tSTATE\tVERSION\tREASON\tCHANGE")
+	for _, r := range v.Records {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s %s\t%s\t%s\t%d\t%s\t%s\n", r.Seq, time.UnixMilli(r.Time).UTC().Format(time.RFC3339),
+			r.Operator, r.Organisation, r.Kind, r.Action, r.Name, r.Outcome.State, r.Outcome.Version, r.Outcome.Reason, r.Outcome.ID)
+	}
+	if v.Next > 0 {
+		fmt.Fprintf(w, "more: --before %d\n", v.Next)
+	}
+}
+
+type statusView struct {
+	freshness
+	Quorum api.QuorumStatus     `json:"quorum"`
+	Fleet  []api.InstanceStatus `json:"fleet"`
+}
+
+func (v *statusView) columns(w io.Writer) {
+	v.note(w)
+	fmt.Fprintf(w, "version\t%d\nage of knowledge\t%d ms\nrole\t%s\nleader\t%s\nterm\t%d\nvoters\t%s\nlearners\t%s\n", v.Current, v.AgeMillis,
+		v.Quorum.Role, v.Quorum.Leader, v.Quorum.Term, strings.Join(v.Quorum.Voters, ", "), strings.Join(v.Quorum.Learners, ", "))
+	if len(v.Fleet) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nINSTANCE\tAZ\tREACHABLE\tLEADER\tVERSION\tAGE\tNODES\tBEHIND\tLOWEST")
+	for _, i := range v.Fleet {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%d ms\t%d\t%d\t%d\n", i.Instance, i.AvailabilityZone, i.Reachable, i.Leader, i.Version, i.AgeMillis, i.Nodes, i.Behind, i.LowestVersion)
+	}
+}
+
+type routeView struct {
+	freshness
+	Found     bool                `json:"found"`
+	Text      string              `json:"text"`
+	Route     *resource.Route     `json:"route"`
+	Cluster   *resource.Cluster   `json:"cluster"`
+	Endpoints []resource.Endpoint `json:"endpoints"`
+}
+
+func (v *routeView) columns(w io.Writer) {
+	v.note(w)
+	if !v.Found {
+		fmt.Fprintln(w, v.Text)
+		return
+	}
+	r, c := v.Route, v.Cluster
+	fmt.Fprintf(w, "route\t%s\nhost\t%s\npath prefix\t%s\nmethods\t%s\ntimeout\t%v\nattempts\t%d\n", r.Name, r.Match.Host, r.Match.PathPrefix,
+		strings.Join(r.Match.Methods, ", "), r.Timeout(), r.MaxAttempts)
+	fmt.Fprintf(w, "cluster\t%s\nservice\t%s\nretry budget\t%d %%\nwhy\t%s\n", c.Name, c.Service, c.RetryBudgetPercent, v.Text)
+	if len(v.Endpoints) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\nNODE\tAZ\tADDRESS\tSTATE\tSLOTS\tSTALE")
+	for _, e := range v.Endpoints {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%t\n", e.Node, e.AvailabilityZone, e.Address, e.State, e.Slots, e.Stale)
+	}
+}
+
+type refusalView struct {
+	freshness
+	Record change.Record `json:"record"`
+	Advice string        `json:"advice"`
+}
+
+func (v *refusalView) columns(w io.Writer) {
+	v.note(w)
+	r := &v.Record
+	fmt.Fprintf(w, "operator\t%s\naction\t%s %s %s\ntime\t%s\n", r.Operator, r.Kind, r.Action, r.Name, time.UnixMilli(r.Time).UTC().Format(time.RFC3339))
+	printOutcome(w, &r.Outcome)
+	if v.Advice != "" {
+		fmt.Fprintf(w, "advice\t%s\n", v.Advice)
+	}
+}
--- /dev/null
+++ b/core/change/outcome.go
@@ -0,0 +1,84 @@
+package change
+
+import "github.com/celeryyard/celeryyard/core/resource"
+
+// Reason is the code of a refusal.
+type Reason string
+
+// Reasons of refusals.
+const (
+	// ReasonMalformed: the change fails a check that needs no state.
+	ReasonMalformed Reason = "malformed"
+	// ReasonForbidden: the operator's scope or roles do not cover the change.
+	ReasonForbidden Reason = "forbidden"
+	// ReasonExists: put of a name that is in use.
+	ReasonExists Reason = "exists"
+	// ReasonAbsent: revise or withdraw of a name that does not exist for the operator.
+	ReasonAbsent Reason = "absent"
+	// ReasonRevision: the expected revision is not the current one.
+	ReasonRevision Reason = "revision_mismatch"
+	// ReasonInUse: withdraw of a template that teams use.
+	ReasonInUse Reason = "in_use"
+	// ReasonNoTemplate: the team's template does not exist.
+	ReasonNoTemplate Reason = "unknown_template"
+	// ReasonExpansion: a team does not expand.
+	ReasonExpansion Reason = "expansion"
+	// ReasonHostTaken: a host belongs to a team of another organisation.
+	ReasonHostTaken Reason = "host_taken"
+	// ReasonLimit: a bound of the whole catalog would be exceeded.
+	ReasonLimit Reason = "limit"
+	// ReasonIDReused: the ID was used before for another change.
+	ReasonIDReused Reason = "id_reused"
+)
+
+// Refusal says why a change is refused.
+type Refusal struct {
+	Reason Reason
+	// Text names the field, team or host.
+	Text string
+}
+
+// State is the stage of a change.
+type State string
+
+// States of changes.
+const (
+	// StateAccepted: the change is in force and never reverts.
+	StateAccepted State = "accepted"
+	// StateRefused: the change did not take effect and never will.
+	StateRefused State = "refused"
+	// StateUndecided: the change may or may not take effect; a resend with the same
+	// ID tells.
+	StateUndecided State = "undecided"
+)
+
+// Outcome is the answer to a change.
+type Outcome struct {
+	ID    string `json:"id"`
+	State State  `json:"state"`
+	// Version is the version that the change made; 0 unless accepted.
+	Version resource.Version `json:"version,omitzero"`
+	// Revision is the current revision of the object after the decision: the version
+	// of its last change, so that a revision is never used twice, even when an
+	// object is withdrawn and put again. 0 when it does not exist for the operator.
+	Revision uint64 `json:"revision,omitzero"`
+	Reason   Reason `json:"reason,omitempty"`
+	Text     string `json:"text,omitempty"`
+}
+
+// Record is the audit record of one decided change.
+type Record struct {
+	// Seq numbers records from 1 without gaps.
+	Seq uint64 `json:"seq"`
+	// Time is when the change was proposed, in Unix milliseconds of the proposer's clock.
+	Time             int64  `json:"time"`
+	Operator         string `json:"operator"`
+	Organisation     string `json:"organisation"`
+	Kind             Kind   `json:"kind"`
+	Action           Action `json:"action"`
+	Name             string `json:"name"`
+	ExpectedRevision uint64 `json:"expected_revision,omitzero"`
+	// Digest is Change.Digest.
+	Digest  string  `json:"digest"`
+	Outcome Outcome `json:"outcome"`
+}
--- /dev/null
+++ b/plugin/catalog/plugin.go
@@ -0,0 +1,193 @@
+// Package catalog is the replicated configuration: it decides the operators'
+// changes in the order of the log and gives nodes their deltas.
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/change"
+	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/event"
+	"github.com/celeryyard/celeryyard/kernel/pool"
+	"github.com/celeryyard/celeryyard/kernel/rank"
+)
+
+var (
+	evAccepted  = event.Declare(400, zerolog.DebugLevel, "change accepted")
+	evRefused   = event.Declare(401, zerolog.DebugLevel, "change refused")
+	evRestored  = event.Declare(402, zerolog.InfoLevel, "catalog restored from a snapshot")
+	evMalformed = event.Declare(403, zerolog.ErrorLevel, "log entry is not a change; it has no effect")
+)
+
+// watchKey orders the notifications of watchers.
+const watchKey = "catalog/watch"
+
+// notifyRetry is the pause before a notification that found the job queue full
+// is queued again.
+const notifyRetry = 10 * time.Millisecond
+
+// Catalog is the plug-in. It implements api.StateMachine and api.Catalog.
+type Catalog struct {
+	c        *kernel.Context
+	log      api.Log
+	watchers []func(resource.Version)
+
+	accepted, refused *metrics.Counter
+
+	// mu guards the replicated state.
+	mu *rank.RWMutex
+	s  *state
+	// notifying tells that a notification is queued and not yet running.
+	notifying bool
+}
+
+func newCatalog(c *kernel.Context) *Catalog {
+	t := &Catalog{
+		c: c, log: kernel.Use[api.Log](c, "quorum"), mu: rank.NewRW(rank.Catalog), s: newState(),
+		accepted: c.Metrics.NewCounter("celeryyard_catalog_accepted_total"),
+		refused:  c.Metrics.NewCounter("celeryyard_catalog_refused_total"),
+	}
+	c.Metrics.NewGauge("celeryyard_catalog_version", func() float64 { return float64(t.Version()) })
+	c.Metrics.NewGauge("celeryyard_catalog_resources", func() float64 {
+		t.mu.RLock()
+		defer t.mu.RUnlock()
+		return float64(len(t.s.resources))
+	})
+	t.log.Attach(t)
+	return t
+}
+
+// Start implements kernel.Plugin.
+func (t *Catalog) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Plugin.
+func (t *Catalog) Stop(context.Context) error { return nil }
+
+// Apply implements api.StateMachine. The result is a change.Outcome.
+func (t *Catalog) Apply(index uint64, data []byte) any {
+	e, err := decodeEntry(data)
+	if err != nil {
+		t.c.Log.Log(evMalformed).Uint("index", index).Err(err).Send()
+		return change.Outcome{State: change.StateRefused, Reason: change.ReasonMalformed, Text: err.Error()}
+	}
+	out, risen := t.applyEntry(e)
+	ev, counter := evAccepted, t.accepted
+	if out.State == change.StateRefused {
+		ev, counter = evRefused, t.refused
+	}
+	counter.Inc()
+	t.c.Log.Log(ev).Str("change", out.ID).Str("operator", e.Change.Operator).Uint("version", uint64(out.Version)).
+		Str("reason", string(out.Reason)).Str("text", out.Text).Send()
+	if risen {
+		t.notify()
+	}
+	return out
+}
+
+func (t *Catalog) applyEntry(e entry) (out change.Outcome, risen bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.s.version
+	out = t.s.apply(e.Change, e.Time)
+	return out, t.s.version > before
+}
+
+// Snapshot implements api.StateMachine.
+func (t *Catalog) Snapshot() ([]byte, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.s.encode()
+}
+
+// Restore implements api.StateMachine.
+func (t *Catalog) Restore(snapshot []byte) error {
+	s, err := decodeState(snapshot)
+	if err != nil {
+		return err
+	}
+	t.replace(s)
+	t.c.Log.Log(evRestored).Uint("version", uint64(s.version)).Int("resources", len(s.resources)).Send()
+	t.notify()
+	return nil
+}
+
+func (t *Catalog) replace(s *state) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.s = s
+}
+
+// Version implements api.Catalog.
+func (t *Catalog) Version() resource.Version {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.s.version
+}
+
+// Delta implements api.Catalog. Its removes are limited to resources that a node
+// with the same services held at version from; a node whose services changed
+// takes a full set.
+func (t *Catalog) Delta(from resource.Version, services map[string]bool) resource.Delta {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.s.delta(from, services)
+}
+
+// Watch implements api.Catalog.
+func (t *Catalog) Watch(f func(v resource.Version)) { t.watchers = append(t.watchers, f) }
+
+// notify queues a notification of the watchers unless one is queued already.
+func (t *Catalog) notify() {
+	t.mu.Lock()
+	queued := t.notifying
+	t.notifying = true
+	t.mu.Unlock()
+	if queued {
+		return
+	}
+	if err := t.c.Next(watchKey, t.callWatchers); errors.Is(err, pool.ErrFull) {
+		t.c.After(notifyRetry, watchKey, t.callWatchers)
+	}
+}
+
+func (t *Catalog) callWatchers() {
+	t.mu.Lock()
+	t.notifying = false
+	v := t.s.version
+	t.mu.Unlock()
+	for _, f := range t.watchers {
+		f(v)
+	}
+}
+
+// Submit proposes a change that passes its Check. done is called once, in a job,
+// with the decision, or with an error that carries a verdict; the verdict is
+// about this attempt only, because an earlier one with the same ID may still be
+// decided.
+func (t *Catalog) Submit(c *change.Change, timeout time.Duration, done func(change.Outcome, error)) {
+	data, err := encodeEntry(entry{Time: t.c.Clock.Now().UnixMilli(), Change: c})
+	if err != nil {
+		done(change.Outcome{}, verdict.Wrap(verdict.NotRun, err))
+		return
+	}
+	t.log.Propose(data, timeout, func(result any, err error) {
+		if err != nil {
+			done(change.Outcome{}, err)
+			return
+		}
+		out, ok := result.(change.Outcome)
+		if !ok {
+			done(change.Outcome{}, errors.Newf("log returned %T instead of a decision", result))
+			return
+		}
+		done(out, nil)
+	})
+}
--- /dev/null
+++ b/plugin/operator/operator_test.go
@@ -0,0 +1,203 @@
+package operator_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/api/apitest"
+	"github.com/celeryyard/celeryyard/core/change"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+	_ "github.com/celeryyard/celeryyard/plugin/operator" // registers itself
+)
+
+func init() {
+	apitest.RegisterQuorum()
+	kernel.Register(kernel.Registration{
+		Name: "distribution",
+		New:  func(*kernel.Context) (kernel.Plugin, error) { return fleet{}, nil },
+	})
+}
+
+// fleet is a plug-in "distribution" with one instance.
+type fleet struct{}
+
+func (fleet) Start(context.Context) error { return nil }
+func (fleet) Stop(context.Context) error  { return nil }
+func (fleet) Status(_ time.Duration, done func([]api.InstanceStatus)) {
+	done([]api.InstanceStatus{{Instance: "a", Reachable: true, Version: 7}})
+}
+
+const (
+	tokenInes  = "example-token-tacto-norte-ines"
+	tokenBerto = "example-token-tacto-norte-berto"
+	tokenMojca = "example-token-kranjc-mojca"
+	tokenLuka  = "example-token-kranjc-luka"
+
+	templateBody = `{"name": "one", "parameters": {"host": {"type": "string"}, "service": {"type": "string"}},
+		"clusters": [{"name": "c", "service": "${service}"}], "routes": [{"name": "r", "host": "${host}", "cluster": "c"}]}`
+)
+
+type server struct {
+	t    *testing.T
+	addr string
+	log  *apitest.Quorum
+}
+
+func start(t *testing.T, more string) *server {
+	t.Helper()
+	addr := kerneltest.FreeAddress(t)
+	text := fmt.Sprintf(`{"instance": {"name": "a"}, "operator": {"listen": %q, "tokens_file": "../../examples/operators.json"%s}}`, addr, more)
+	k, _ := kerneltest.Start(t, []string{"quorum", "distribution", "catalog", "operator"}, text, false)
+	s := &server{t, addr, k.Service("quorum").(*apitest.Quorum)}
+	kerneltest.Wait(t, 5*time.Second, "operators' listener", func() bool {
+		r, err := http.Get("http://" + addr + "/v1/status")
+		if err == nil {
+			r.Body.Close()
+		}
+		return err == nil
+	})
+	return s
+}
+
+// call returns the status code and the decoded body of a request.
+func (s *server) call(method, path, token, body string) (int, map[string]any) {
+	s.t.Helper()
+	q, err := http.NewRequest(method, "http://"+s.addr+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+token)
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer r.Body.Close()
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	m := map[string]any{}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		s.t.Fatalf("%s %s: %v in %q", method, path, err, raw)
+	}
+	return r.StatusCode, m
+}
+
+// change submits a change and checks the state and the reason of the outcome.
+func (s *server) change(token, id, kind, action, name string, expected int, body, state, reason string) map[string]any {
+	s.t.Helper()
+	q := fmt.Sprintf(`{"id": %q, "kind": %q, "action": %q, "name": %q`, id, kind, action, name)
+	if expected > 0 {
+		q += fmt.Sprintf(`, "expected_revision": %d`, expected)
+	}
+	if body != "" {
+		q += `, "body": ` + body
+	}
+	code, m := s.call("POST", "/v1/changes", token, q+"}")
+	if m["state"] != state || reason != "" && m["reason"] != reason {
+		s.t.Fatalf("change %s: status %d with %v, want %s %s", id, code, m, state, reason)
+	}
+	return m
+}
+
+func team(name, organisation, host, service string) string {
+	return fmt.Sprintf(`{"name": %q, "organisation": %q, "template": "one", "parameters": {"host": %q, "service": %q}}`, name, organisation, host, service)
+}
+
+// Guards against answers that do not tell what became of a change, and against
+// one organisation that sees or changes the teams of another.
+func TestChangesAndScope(t *testing.T) {
+	s := start(t, "")
+	acc, ref := string(change.StateAccepted), string(change.StateRefused)
+	s.change(tokenBerto, "t0", "template", "put", "one", 0, templateBody, ref, "forbidden")
+	s.change(tokenInes, "t1", "template", "put", "one", 0, templateBody, acc, "")
+	s.change(tokenLuka, "l1", "team", "put", "quilts", 0, team("quilts", "kranjc", "q.example", "order-desk"), ref, "forbidden")
+	s.change(tokenBerto, "x1", "team", "put", "quilts", 0, team("quilts", "kranjc", "q.example", "order-desk"), ref, "forbidden")
+	s.change(tokenMojca, "k1", "team", "put", "quilts", 0, team("quilts", "kranjc", "q.example", "order-desk"), acc, "")
+	s.change(tokenMojca, "k1", "team", "put", "quilts", 0, team("quilts", "kranjc", "q.example", "order-desk"), acc, "")
+	s.change(tokenBerto, "x2", "team", "withdraw", "quilts", 2, "", ref, "absent")
+	s.change(tokenBerto, "x3", "team", "put", "books", 0, team("books", "tacto-norte", "q.example", "catalogo"), ref, "host_taken")
+	s.change(tokenBerto, "k1", "team", "put", "books", 0, team("books", "tacto-norte", "b.example", "catalogo"), ref, "id_reused")
+	s.change(tokenInes, "t2", "template", "withdraw", "one", 1, "", ref, "in_use")
+	if code, m := s.call("GET", "/v1/changes/k1", tokenBerto, ""); code != 404 || m["state"] != "undecided" {
+		t.Fatalf("change of another organisation: status %d with %v", code, m)
+	}
+	if code, m := s.call("GET", "/v1/changes/k1", tokenMojca, ""); code != 200 || m["version"] != 2.0 {
+		t.Fatalf("own change: status %d with %v", code, m)
+	}
+	for token, want := range map[string]int{tokenMojca: 1, tokenLuka: 1, tokenBerto: 0} {
+		if _, m := s.call("GET", "/v1/teams", token, ""); len(m["teams"].([]any)) != want {
+			t.Fatalf("teams shown to %s: %v, want %d", token, m, want)
+		}
+		_, m := s.call("GET", "/v1/explain?method=GET&host=q.example&path=/x", token, "")
+		if found := m["found"].(bool); found != (want == 1) {
+			t.Fatalf("explain shown to %s: %v", token, m)
+		}
+	}
+	if _, m := s.call("GET", "/v1/audit", tokenMojca, ""); strings.Contains(fmt.Sprint(m), "books") {
+		t.Fatalf("audit shows teams of another organisation: %v", m)
+	}
+	if _, m := s.call("GET", "/v1/explain?change=t2", tokenInes, ""); m["advice"] == nil {
+		t.Fatalf("refusal is not explained: %v", m)
+	}
+}
+
+// Guards against malformed requests that reach the log, and against requests
+// without a token.
+func TestMalformedRequestsNeverReachTheLog(t *testing.T) {
+	s := start(t, "")
+	before := s.log.Status().Applied
+	for _, body := range []string{
+		`{`, `[]`, `{"id": "a", "id": "b"}`, `{"id": "a", "extra": 1}`, "{\"id\": \"\xff\"}",
+		`{"id": "a", "kind": "team", "action": "put", "name": "n"}`,
+		`{"id": "a", "kind": "team", "action": "put", "name": "n", "body": ` + strings.Repeat("[", 100) + strings.Repeat("]", 100) + `}`,
+		`{"id": "a", "kind": "team", "action": "put", "name": "n", "body": {"name": "n", "organisation": "kranjc", "template": "t", "parameters": {"a": 1, "a": 2}}}`,
+		`{"id": "a", "kind": "team", "action": "revise", "name": "n", "body": {}}`,
+		`{"id": "a b", "kind": "team", "action": "put", "name": "n", "body": {}}`,
+	} {
+		if code, m := s.call("POST", "/v1/changes", tokenMojca, body); code != 400 || m["reason"] != "malformed" || m["text"] == "" {
+			t.Errorf("%.60q: status %d with %v", body, code, m)
+		}
+	}
+	if code, _ := s.call("POST", "/v1/changes", tokenMojca, strings.Repeat(" ", 1<<20)); code != 413 {
+		t.Errorf("huge request: status %d", code)
+	}
+	for _, token := range []string{"", "wrong-token-0123456789", tokenMojca + "x"} {
+		if code, _ := s.call("GET", "/v1/teams", token, ""); code != 401 {
+			t.Errorf("token %q: status %d", token, code)
+		}
+	}
+	if after := s.log.Status().Applied; after != before {
+		t.Fatalf("log grew from %d to %d", before, after)
+	}
+}
+
+// Guards against an isolated instance that calls its data current or a change
+// refused, and against a lost answer that is taken for a refusal.
+func TestIsolatedInstance(t *testing.T) {
+	s := start(t, "")
+	s.log.SetFault(apitest.LoseAnswer)
+	s.change(tokenInes, "t1", "template", "put", "one", 0, templateBody, "undecided", "")
+	s.log.SetFault(apitest.Isolated)
+	s.change(tokenInes, "t1", "template", "put", "one", 0, templateBody, "undecided", "")
+	if _, m := s.call("GET", "/v1/templates", tokenInes, ""); m["stale"] != true || m["notice"] == nil || len(m["templates"].([]any)) != 1 {
+		t.Fatalf("isolated read: %v", m)
+	}
+	s.log.SetFault(apitest.None)
+	s.change(tokenInes, "t1", "template", "put", "one", 0, templateBody, "accepted", "")
+	if _, m := s.call("GET", "/v1/templates", tokenInes, ""); m["stale"] != false {
+		t.Fatalf("read: %v", m)
+	}
+	if _, m := s.call("GET", "/v1/status", tokenInes, ""); len(m["fleet"].([]any)) != 1 {
+		t.Fatalf("status: %v", m)
+	}
+}
--- /dev/null
+++ b/plugin/operator/plugin.go
@@ -0,0 +1,137 @@
+// Package operator is the operators' HTTP API: it authenticates operators,
+// submits their changes to the catalog and shows them the state within their scope.
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/event"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+	"github.com/celeryyard/celeryyard/plugin/catalog"
+)
+
+var (
+	evListening = event.Declare(450, zerolog.InfoLevel, "listening for operators")
+	evToken     = event.Declare(451, zerolog.WarnLevel, "operator request without a valid token")
+	evRefused   = event.Declare(452, zerolog.InfoLevel, "change refused before the log")
+	evUndecided = event.Declare(453, zerolog.InfoLevel, "change is undecided for its operator")
+)
+
+// Bounds of a connection of an operator.
+const (
+	readTimeout    = 10 * time.Second
+	idleTimeout    = 60 * time.Second
+	writeTimeout   = maxTimeout + 10*time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Operator is the plug-in. It owns no table.
+type Operator struct {
+	c       *kernel.Context
+	s       *Settings
+	log     api.Log
+	catalog *catalog.Catalog
+	// fleet and discovery are nil when the program does not have them.
+	fleet     api.Fleet
+	discovery api.Discovery
+	tokens    *tokens
+	echo      *echo.Echo
+	server    *http.Server
+	address   net.Addr
+	// waiting holds one element for each request that waits for an answer.
+	waiting chan struct{}
+
+	requests, badTokens *metrics.Counter
+}
+
+func newOperator(c *kernel.Context) *Operator {
+	o := &Operator{
+		c: c, s: c.Settings.(*Settings), log: kernel.Use[api.Log](c, "quorum"),
+		catalog: kernel.Use[*catalog.Catalog](c, "catalog"), echo: echo.New(),
+		requests:  c.Metrics.NewCounter("celeryyard_operator_requests_total"),
+		badTokens: c.Metrics.NewCounter("celeryyard_operator_refused_tokens_total"),
+	}
+	o.fleet, _ = kernel.Find[api.Fleet](c, "distribution")
+	o.discovery, _ = kernel.Find[api.Discovery](c, "discovery")
+	o.waiting = make(chan struct{}, o.s.MaxWaiting)
+	o.routes()
+	return o
+}
+
+func (o *Operator) routes() {
+	o.echo.HTTPErrorHandler = writeError
+	g := o.echo.Group("/v1", o.authenticate)
+	g.POST("/changes", o.postChange)
+	g.GET("/changes/:id", o.getChange)
+	g.GET("/templates", o.getTemplates)
+	g.GET("/teams", o.getTeams)
+	g.GET("/history", o.getHistory)
+	g.GET("/audit", o.getAudit)
+	g.GET("/status", o.getStatus)
+	g.GET("/explain", o.getExplain)
+}
+
+// Start implements kernel.Plugin.
+func (o *Operator) Start(context.Context) error {
+	if o.s.Listen == "" {
+		return nil
+	}
+	if err := o.loadTokens(); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", o.s.Listen)
+	if err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+	o.address = l.Addr()
+	o.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
+	o.server = &http.Server{
+		Handler: o.echo, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	go func() {
+		if err := o.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			o.c.Fail(err)
+		}
+	}()
+	return nil
+}
+
+// Stop implements kernel.Plugin. Requests that wait are answered first.
+func (o *Operator) Stop(ctx context.Context) error {
+	if o.server == nil {
+		return nil
+	}
+	return o.server.Shutdown(ctx)
+}
+
+func (o *Operator) loadTokens() error {
+	f, err := settings.Load(o.s.TokensFile)
+	if err != nil {
+		return errors.Wrap(err, "tokens file")
+	}
+	if err := f.Unknown(map[string]bool{"operators": true}); err != nil {
+		return err
+	}
+	var entries []tokenEntry
+	if err := f.Decode("operators", &entries); err != nil {
+		return err
+	}
+	key := make([]byte, 32)
+	if _, err := rand.Read(key); err != nil {
+		return errors.Wrap(err, "key for token hashes")
+	}
+	o.tokens, err = newTokens(key, entries)
+	return errors.Wrapf(err, "%s: operators", o.s.TokensFile)
+}
--- /dev/null
+++ b/plugin/operator/setup.go
@@ -0,0 +1,69 @@
+package operator
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name:  "operator",
+		Needs: []string{"quorum", "catalog"},
+		After: []string{"distribution", "discovery"},
+		Settings: func() any {
+			return &Settings{
+				DecisionTimeout: settings.Duration(10 * time.Second),
+				ReadTimeout:     settings.Duration(2 * time.Second),
+				StaleAfter:      settings.Duration(5 * time.Second),
+				MaxWaiting:      256,
+			}
+		},
+		New: func(c *kernel.Context) (kernel.Plugin, error) { return newOperator(c), nil },
+	})
+}
+
+// maxTimeout bounds the waits of the settings below the write timeout of the server.
+const maxTimeout = 60 * time.Second
+
+// Settings configures the plug-in.
+type Settings struct {
+	// Listen is IP:port of the operators' listener; empty turns it off.
+	Listen string `json:"listen"`
+	// TokensFile holds the operators' tokens as JSON with comments.
+	TokensFile string `json:"tokens_file"`
+	// DecisionTimeout bounds the wait for the decision of a change.
+	DecisionTimeout settings.Duration `json:"decision_timeout"`
+	// ReadTimeout bounds the wait for current data before stale data is shown.
+	ReadTimeout settings.Duration `json:"read_timeout"`
+	// StaleAfter is the age from which /v1/status calls the data stale.
+	StaleAfter settings.Duration `json:"stale_after"`
+	// MaxWaiting bounds the requests that wait at one time.
+	MaxWaiting int `json:"max_waiting"`
+}
+
+// Validate implements settings.Validator.
+func (s *Settings) Validate() error {
+	if s.Listen != "" {
+		if _, err := netip.ParseAddrPort(s.Listen); err != nil {
+			return settings.Invalid("listen", "%q is not IP:port", s.Listen)
+		}
+		if s.TokensFile == "" {
+			return settings.Invalid("tokens_file", "must not be empty when listen is set")
+		}
+	}
+	for _, d := range []struct {
+		field string
+		value settings.Duration
+	}{{"decision_timeout", s.DecisionTimeout}, {"read_timeout", s.ReadTimeout}, {"stale_after", s.StaleAfter}} {
+		if d.value <= 0 || d.value.D() > maxTimeout {
+			return settings.Invalid(d.field, "%v is not positive or above %v", d.value.D(), maxTimeout)
+		}
+	}
+	if s.MaxWaiting < 1 {
+		return settings.Invalid("max_waiting", "%d is below 1", s.MaxWaiting)
+	}
+	return nil
+}
