--- a/role/role.go
+++ b/role/role.go
@@ -5,10 +5,12 @@
 import (
 	_ "github.com/celeryyard/celeryyard/plugin/admin"        // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/announce"     // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/catalog"      // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/discovery"    // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/distribution" // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/idempotency"  // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/inbound"      // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/operator"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/outbound"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/peer"         // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/session"      // registers itself
@@ -17,7 +19,9 @@
 )
 
 // Control lists the plug-ins of a control instance.
-func Control() []string { return []string{"admin", "trace", "peer", "discovery", "distribution"} }
+func Control() []string {
+	return []string{"admin", "trace", "peer", "catalog", "operator", "discovery", "distribution"}
+}
 
 // Node lists the plug-ins of the process beside an upstream.
 func Node() []string {
