--- /dev/null
+++ b/core/replog/replog.go
@@ -0,0 +1,141 @@
+// Package replog defines what the replicated log consists of: entries, the hard
+// state of a member, configurations of the group and snapshots. It does no I/O
+// and knows no encoding.
+package replog
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MemberID identifies a member of the group. It is drawn at random when a data
+// folder is first used, so an instance that lost its disk is another member.
+// Zero means none.
+type MemberID uint64
+
+// String returns the identifier as 16 hexadecimal digits.
+func (m MemberID) String() string { return fmt.Sprintf("%016x", uint64(m)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (m MemberID) MarshalText() ([]byte, error) { return []byte(m.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (m *MemberID) UnmarshalText(b []byte) error {
+	v, err := strconv.ParseUint(string(b), 16, 64)
+	if err != nil {
+		return errors.Newf("member ID %q is not hexadecimal", b)
+	}
+	*m = MemberID(v)
+	return nil
+}
+
+// Kind tells what an entry carries.
+type Kind uint8
+
+// Kinds of entries.
+const (
+	// KindEmpty is the first entry of each leader's term.
+	KindEmpty Kind = iota
+	// KindData carries Data for the state machine.
+	KindData
+	// KindConfig carries a new configuration of the group.
+	KindConfig
+)
+
+// Entry is one position of the log. It is immutable.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Kind  Kind
+	Data  []byte
+	// Config is set for KindConfig only.
+	Config *Config
+}
+
+// Size returns the approximate bytes of the entry in memory and in messages.
+func (e *Entry) Size() int {
+	n := len(e.Data) + 32
+	if e.Config != nil {
+		n += 64 * len(e.Config.Members)
+	}
+	return n
+}
+
+// Member is one instance's membership.
+type Member struct {
+	ID MemberID `json:"id"`
+	// Name is the instance name.
+	Name string `json:"name"`
+	// Voter is false for learners.
+	Voter bool `json:"voter,omitzero"`
+}
+
+// Config is the membership of the group. It is immutable.
+type Config struct {
+	Members []Member `json:"members"`
+}
+
+// Find returns the member with the identifier.
+func (c *Config) Find(id MemberID) (Member, bool) {
+	for _, m := range c.Members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// Voters returns the identifiers of the voters.
+func (c *Config) Voters() []MemberID {
+	var list []MemberID
+	for _, m := range c.Members {
+		if m.Voter {
+			list = append(list, m.ID)
+		}
+	}
+	return list
+}
+
+// IsVoter reports whether id is a voter.
+func (c *Config) IsVoter(id MemberID) bool {
+	m, ok := c.Find(id)
+	return ok && m.Voter
+}
+
+// With returns a copy in which m replaces the member with the same identifier
+// or is added.
+func (c *Config) With(m Member) Config {
+	out := c.Without(m.ID)
+	out.Members = append(out.Members, m)
+	return out
+}
+
+// Without returns a copy that lacks the member.
+func (c *Config) Without(id MemberID) Config {
+	out := Config{Members: make([]Member, 0, len(c.Members)+1)}
+	for _, m := range c.Members {
+		if m.ID != id {
+			out.Members = append(out.Members, m)
+		}
+	}
+	return out
+}
+
+// HardState is what a member must remember across restarts. Commit is a lower
+// bound of the commit index.
+type HardState struct {
+	Term   uint64
+	Vote   MemberID
+	Commit uint64
+}
+
+// Snapshot is the state after the entry at Index. Data is nil where only its
+// description is needed.
+type Snapshot struct {
+	Index  uint64
+	Term   uint64
+	Config Config
+	Data   []byte
+}
--- /dev/null
+++ b/plugin/journal/record.go
@@ -0,0 +1,168 @@
+package journal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json"
+
+	"github.com/celeryyard/celeryyard/core/replog"
+)
+
+// A segment starts with a header: magic, sequence number, salt, checksum. Frames
+// follow: salt, length, checksum, payload. One frame holds the records of one
+// synced write, so a valid frame after an invalid one proves damage rather than
+// an interrupted write. The salt is random per segment, so that no entry's data
+// can look like a frame; the checksum covers salt and offset.
+const (
+	segmentMagic  = "CYSEGM01"
+	segmentHeader = len(segmentMagic) + 8 + 8 + 4
+	frameHeader   = 8 + 4 + 4
+)
+
+// Types of records inside a frame. Each is written as type, length, body.
+const (
+	recHead     byte = iota + 1 // first record of a segment: index of the last entry before it
+	recHard                     // term, vote, commit
+	recEntry                    // index, term, kind, data
+	recReleased                 // released version
+	recIdentity                 // member identifier
+	recSnapshot                 // index, term, reset
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+var errMalformed = errors.New("record is malformed")
+
+func appendSegmentHeader(b []byte, seq, salt uint64) []byte {
+	start := len(b)
+	b = append(b, segmentMagic...)
+	b = binary.BigEndian.AppendUint64(b, seq)
+	b = binary.BigEndian.AppendUint64(b, salt)
+	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b[start:], castagnoli))
+}
+
+// parseSegmentHeader returns the salt of segment seq.
+func parseSegmentHeader(b []byte, seq uint64) (uint64, bool) {
+	if len(b) < segmentHeader {
+		return 0, false
+	}
+	head := b[:segmentHeader-4]
+	if string(head[:len(segmentMagic)]) != segmentMagic ||
+		crc32.Checksum(head, castagnoli) != binary.BigEndian.Uint32(b[segmentHeader-4:]) ||
+		binary.BigEndian.Uint64(head[8:]) != seq {
+		return 0, false
+	}
+	return binary.BigEndian.Uint64(head[16:]), true
+}
+
+// appendFrame adds the frame that stands at offset of its segment.
+func appendFrame(b []byte, salt uint64, offset int64, payload []byte) []byte {
+	b = binary.BigEndian.AppendUint64(b, salt)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.BigEndian.AppendUint32(b, frameSum(salt, offset, payload))
+	return append(b, payload...)
+}
+
+func frameSum(salt uint64, offset int64, payload []byte) uint32 {
+	var head [20]byte
+	binary.BigEndian.PutUint64(head[:], salt)
+	binary.BigEndian.PutUint64(head[8:], uint64(offset))
+	binary.BigEndian.PutUint32(head[16:], uint32(len(payload)))
+	return crc32.Update(crc32.Checksum(head[:], castagnoli), castagnoli, payload)
+}
+
+// parseFrame returns the payload of the frame at offset of the segment b.
+func parseFrame(b []byte, salt uint64, offset int) ([]byte, bool) {
+	rest := b[offset:]
+	if len(rest) < frameHeader || binary.BigEndian.Uint64(rest) != salt {
+		return nil, false
+	}
+	n := int(binary.BigEndian.Uint32(rest[8:]))
+	if n == 0 || n > len(rest)-frameHeader {
+		return nil, false
+	}
+	payload := rest[frameHeader : frameHeader+n]
+	return payload, frameSum(salt, int64(offset), payload) == binary.BigEndian.Uint32(rest[12:])
+}
+
+func appendRecord(b []byte, typ byte, body []byte) []byte {
+	b = append(b, typ)
+	b = binary.AppendUvarint(b, uint64(len(body)))
+	return append(b, body...)
+}
+
+func appendNumbers(b []byte, typ byte, values ...uint64) []byte {
+	var body []byte
+	for _, v := range values {
+		body = binary.AppendUvarint(body, v)
+	}
+	return appendRecord(b, typ, body)
+}
+
+func appendEntry(b []byte, e *replog.Entry) ([]byte, error) {
+	data := e.Data
+	if e.Kind == replog.KindConfig {
+		var err error
+		if data, err = json.Marshal(e.Config); err != nil {
+			return nil, errors.Wrap(err, "encode configuration")
+		}
+	}
+	body := make([]byte, 0, 2*binary.MaxVarintLen64+1+len(data))
+	body = binary.AppendUvarint(body, e.Index)
+	body = binary.AppendUvarint(body, e.Term)
+	body = append(body, byte(e.Kind))
+	return appendRecord(b, recEntry, append(body, data...)), nil
+}
+
+func parseEntry(body []byte) (replog.Entry, error) {
+	var e replog.Entry
+	rest, err := numbers(body, &e.Index, &e.Term)
+	if err != nil || len(rest) == 0 || e.Index == 0 {
+		return e, errMalformed
+	}
+	e.Kind = replog.Kind(rest[0])
+	rest = rest[1:]
+	switch e.Kind {
+	case replog.KindEmpty, replog.KindData:
+		e.Data = append([]byte(nil), rest...)
+	case replog.KindConfig:
+		e.Config = &replog.Config{}
+		if json.Unmarshal(rest, e.Config) != nil {
+			return e, errMalformed
+		}
+	default:
+		return e, errMalformed
+	}
+	return e, nil
+}
+
+// numbers reads one uvarint into each target and returns what follows.
+func numbers(b []byte, into ...*uint64) ([]byte, error) {
+	for _, p := range into {
+		v, n := binary.Uvarint(b)
+		if n <= 0 {
+			return nil, errMalformed
+		}
+		*p, b = v, b[n:]
+	}
+	return b, nil
+}
+
+// eachRecord calls f for each record of a payload.
+func eachRecord(payload []byte, f func(typ byte, body []byte) error) error {
+	for len(payload) > 0 {
+		typ := payload[0]
+		var n uint64
+		rest, err := numbers(payload[1:], &n)
+		if err != nil || n > uint64(len(rest)) {
+			return errMalformed
+		}
+		if err := f(typ, rest[:n]); err != nil {
+			return err
+		}
+		payload = rest[n:]
+	}
+	return nil
+}
