--- a/cmd/celeryyard/client.go
+++ b/cmd/celeryyard/client.go
@@ -109,10 +109,13 @@
 	return &response{server: server, code: r.StatusCode, body: b}, nil
 }
 
+// skip moves on to another server.
+func (c *client) skip() { c.current = (c.current + 1) % len(c.servers) }
+
 // next moves on to another server. After each round over all of them it waits,
 // longer after each round. It returns false when ctx ends.
 func (c *client) next(ctx context.Context, attempt int) bool {
-	c.current = (c.current + 1) % len(c.servers)
+	c.skip()
 	if (attempt+1)%len(c.servers) != 0 {
 		return ctx.Err() == nil
 	}
@@ -130,8 +133,10 @@
 	}
 }
 
-// get reads path from the first server that answers and fills into from it.
+// get reads path and fills into from it. It takes the first answer that is
+// current, or a stale one when each server was asked once.
 func (c *client) get(ctx context.Context, path string, into any) ([]byte, error) {
+	var stale *response
 	var last error
 	for attempt := 0; ; attempt++ {
 		r, err := c.send(ctx, http.MethodGet, path, nil)
@@ -140,15 +145,34 @@
 			last = err
 		case r.code >= 500:
 			last = r.failure()
-		case r.code == http.StatusOK:
-			return r.body, errors.Wrapf(json.Unmarshal(r.body, into), "%s: response", r.server)
-		default:
+		case r.code != http.StatusOK:
 			return nil, r.failure()
+		case r.stale():
+			stale = r
+		default:
+			return r.decode(into)
+		}
+		if stale != nil && attempt+1 >= len(c.servers) {
+			return stale.decode(into)
 		}
 		if !c.next(ctx, attempt) {
-			return nil, errors.Wrap(last, "no server answered in time")
+			break
 		}
 	}
+	if stale != nil {
+		return stale.decode(into)
+	}
+	return nil, errors.Wrap(last, "no server answered in time")
+}
+
+func (r *response) decode(into any) ([]byte, error) {
+	return r.body, errors.Wrapf(json.Unmarshal(r.body, into), "%s: response", r.server)
+}
+
+// stale reports whether the server could not confirm that its data is current.
+func (r *response) stale() bool {
+	var f freshness
+	return json.Unmarshal(r.body, &f) == nil && f.Stale
 }
 
 // failure returns the error that a response states.
--- a/cmd/celeryyard/main_test.go
+++ b/cmd/celeryyard/main_test.go
@@ -125,6 +125,21 @@
 	o.has(o.run(0, "history", "--output", "json"), `"current_version": 1`)
 }
 
+// Guards against stale data that is shown although another instance is current,
+// and against stale data that is shown without a word.
+func TestCurrentAnswerIsPreferred(t *testing.T) {
+	isolated, log := newServer(t)
+	current, _ := newServer(t)
+	log.SetFault(apitest.Isolated)
+	token := "example-token-kranjc-mojca"
+	newOperator(t, token, isolated).has(newOperator(t, token, isolated).run(0, "team", "list"), "STALE")
+	if out := newOperator(t, token, isolated, current).run(0, "team", "list"); strings.Contains(out, "STALE") {
+		t.Errorf("output:\n%s", out)
+	}
+	o := newOperator(t, "example-token-tacto-norte-ines", isolated, current)
+	o.has(o.run(0, "template", "put", "../../examples/templates/service-access.json"), "accepted")
+}
+
 // Guards against --wait that reports a change as in force while a node or an
 // instance is behind or cannot be asked.
 func TestInForceNeedsEveryInstanceAndNode(t *testing.T) {
--- a/cmd/celeryyard/submit.go
+++ b/cmd/celeryyard/submit.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -115,6 +116,9 @@
 		if done {
 			return nil
 		}
+		if s.Stale {
+			a.client.skip()
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -130,6 +134,7 @@
 // node counts as behind while its instance cannot be asked.
 func progress(s *statusView, version uint64) (string, bool) {
 	nodes, behind, current := 0, 0, 0
+	var silent []string
 	for _, i := range s.Fleet {
 		nodes += i.Nodes
 		switch {
@@ -140,7 +145,13 @@
 		default:
 			behind += i.Nodes
 		}
+		if !i.Reachable {
+			silent = append(silent, i.Instance)
+		}
 	}
 	line := fmt.Sprintf("version %d: on %d of %d instances with all their nodes; %d of %d nodes behind", version, current, len(s.Fleet), behind, nodes)
+	if len(silent) > 0 {
+		line += "; no answer from " + strings.Join(silent, ", ")
+	}
 	return line, current == len(s.Fleet)
 }
--- a/cmd/celeryyard/table.go
+++ b/cmd/celeryyard/table.go
@@ -29,7 +29,7 @@
 			}
 		}
 		text := jsontext.Value(raw)
-		if err := text.Indent(); err != nil {
+		if err := text.Indent(jsontext.WithIndent("  ")); err != nil {
 			return err
 		}
 		_, err = fmt.Fprintf(a.stdout, "%s\n", text)
--- a/core/api/apitest/log.go
+++ b/core/api/apitest/log.go
@@ -22,6 +22,8 @@
 	Isolated
 	// LoseAnswer applies each proposal and reports that it may have run.
 	LoseAnswer
+	// Silent takes proposals in, but neither applies nor answers them.
+	Silent
 )
 
 // MemoryLog is an api.Log of a single instance in memory. It calls back from its
@@ -32,13 +34,14 @@
 	index    uint64
 	fault    Fault
 	released resource.Version
-	confirm  time.Time
-	calls    chan func()
+	// confirm is the time of the last Status call that was not isolated.
+	confirm time.Time
+	calls   chan func()
 }
 
 // NewMemoryLog returns an empty log. Close ends its goroutine.
 func NewMemoryLog() *MemoryLog {
-	l := &MemoryLog{calls: make(chan func(), 1024), confirm: time.Now()}
+	l := &MemoryLog{calls: make(chan func(), 1024)}
 	go func() {
 		for f := range l.calls {
 			f()
@@ -68,6 +71,9 @@
 			done(nil, verdict.Wrap(verdict.NotRun, errors.New("no leader is known")))
 			return
 		}
+		if fault == Silent {
+			return
+		}
 		result := l.sm.Apply(index, data)
 		if fault == LoseAnswer {
 			done(nil, verdict.Wrap(verdict.MayHaveRun, errors.New("the answer was lost")))
@@ -82,7 +88,6 @@
 	defer l.mu.Unlock()
 	if l.fault != Isolated {
 		l.index++
-		l.confirm = time.Now()
 	}
 	return l.fault, l.index
 }
@@ -105,6 +110,9 @@
 func (l *MemoryLog) Status() api.QuorumStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.fault != Isolated {
+		l.confirm = time.Now()
+	}
 	return api.QuorumStatus{Member: "memory", Role: "leader", Term: 1, Leader: "memory", Commit: l.index, Applied: l.index, Confirmed: l.confirm}
 }
 
--- a/core/change/change.go
+++ b/core/change/change.go
@@ -86,15 +86,13 @@
 	Team     *resource.Team
 }
 
-// Check decodes the body and makes every check that needs no state. A change
-// that fails it can never take effect. The refusal is nil when the change passes.
-func (c *Change) Check() (Content, *Refusal) {
+// Decode decodes the body and makes every check that depends on nothing but the
+// change itself. A change that fails it can never take effect. The refusal is nil
+// when the change passes.
+func (c *Change) Decode() (Content, *Refusal) {
 	if r := c.CheckHead(); r != nil {
 		return Content{}, r
 	}
-	if r := c.checkScope(); r != nil {
-		return Content{}, r
-	}
 	if c.Action == ActionWithdraw {
 		return Content{}, nil
 	}
@@ -115,12 +113,26 @@
 	if err != nil {
 		return Content{}, malformed(err)
 	}
-	if t.Organisation != c.Organisation {
-		return Content{}, &Refusal{ReasonForbidden, fmt.Sprintf("operator %q is not of organisation %q", c.Operator, t.Organisation)}
-	}
 	return Content{Team: t}, nil
 }
 
+// Authorise checks the scope of the operator. It is part of the decision in the
+// log and not of the checks before it: the roles of an operator may be taken away
+// while an earlier attempt with the same ID is still undecided.
+func (c *Change) Authorise(content Content) *Refusal {
+	role := RoleTeam
+	if c.Kind == KindTemplate {
+		role = RoleTemplate
+	}
+	if !slices.Contains(c.Roles, role) {
+		return &Refusal{ReasonForbidden, fmt.Sprintf("operator %q does not have the role %q", c.Operator, role)}
+	}
+	if t := content.Team; t != nil && t.Organisation != c.Organisation {
+		return &Refusal{ReasonForbidden, fmt.Sprintf("operator %q is not of organisation %q", c.Operator, t.Organisation)}
+	}
+	return nil
+}
+
 // CheckHead checks all fields but the body and the operator's scope.
 func (c *Change) CheckHead() *Refusal {
 	if err := c.checkHead(); err != nil {
@@ -162,17 +174,6 @@
 	return nil
 }
 
-func (c *Change) checkScope() *Refusal {
-	role := RoleTeam
-	if c.Kind == KindTemplate {
-		role = RoleTemplate
-	}
-	if !slices.Contains(c.Roles, role) {
-		return &Refusal{ReasonForbidden, fmt.Sprintf("operator %q does not have the role %q", c.Operator, role)}
-	}
-	return nil
-}
-
 // CheckID refuses IDs that are not 1 to MaxIDBytes bytes of letters, digits, ".",
 // "_" and "-".
 func CheckID(id string) error {
--- a/plugin/catalog/history.go
+++ b/plugin/catalog/history.go
@@ -34,6 +34,8 @@
 type history struct {
 	steps   []step
 	touches int
+	// maxVersions and maxTouches bound steps; tests lower them.
+	maxVersions, maxTouches int
 }
 
 func (h *history) add(v resource.Version, touched []touch) {
@@ -43,7 +45,7 @@
 	h.steps = append(h.steps, step{Version: v, Touched: touched})
 	h.touches += len(touched)
 	drop := 0
-	for len(h.steps)-drop > maxHistoryVersions || h.touches > maxHistoryTouches {
+	for len(h.steps)-drop > h.maxVersions || h.touches > h.maxTouches {
 		h.touches -= len(h.steps[drop].Touched)
 		h.steps[drop] = step{}
 		drop++
@@ -94,11 +96,13 @@
 // full returns the whole set of a node with the given services.
 func (s *state) full(services map[string]bool) resource.Delta {
 	d := resource.Delta{To: s.version}
-	for _, key := range sortedKeys(s.resources) {
-		if r := s.resources[key]; relevant(services, s.service(r)) {
+	for _, r := range s.resources {
+		if relevant(services, s.service(r)) {
 			d.Upserts = append(d.Upserts, *r)
 		}
 	}
+	// Sorting comes last: a node holds a small part of all resources.
+	sort.Slice(d.Upserts, func(i, j int) bool { return less(d.Upserts[i].Key(), d.Upserts[j].Key()) })
 	return d
 }
 
--- a/plugin/catalog/plugin.go
+++ b/plugin/catalog/plugin.go
@@ -168,7 +168,7 @@
 	}
 }
 
-// Submit proposes a change that passes its Check. done is called once, in a job,
+// Submit proposes a change that passes Change.Decode. done is called once, in a job,
 // with the decision, or with an error that carries a verdict; the verdict is
 // about this attempt only, because an earlier one with the same ID may still be
 // decided.
--- a/plugin/catalog/records.go
+++ b/plugin/catalog/records.go
@@ -15,6 +15,8 @@
 	// byID maps a change ID to the Seq of the record with its answer. A reused ID
 	// keeps the first answer.
 	byID map[string]uint64
+	// max bounds list; tests lower it.
+	max int
 }
 
 // find returns the record with the first answer to a change ID.
@@ -37,7 +39,7 @@
 		r.byID[rec.Outcome.ID] = rec.Seq
 	}
 	r.list = append(r.list, rec)
-	if len(r.list) <= maxRecords {
+	if len(r.list) <= r.max {
 		return
 	}
 	oldest := &r.list[0]
--- a/plugin/catalog/state.go
+++ b/plugin/catalog/state.go
@@ -55,7 +55,8 @@
 	return &state{
 		templates: map[string]*templateEntry{}, teams: map[string]*teamEntry{},
 		resources: map[resource.Key]*resource.Resource{}, hosts: map[string]claim{},
-		records: records{byID: map[string]uint64{}},
+		history: history{maxVersions: maxHistoryVersions, maxTouches: maxHistoryTouches},
+		records: records{byID: map[string]uint64{}, max: maxRecords},
 	}
 }
 
@@ -85,7 +86,10 @@
 // decide accepts and executes a change with an unused ID, or refuses it and
 // leaves the configuration unchanged.
 func (s *state) decide(c *change.Change) change.Outcome {
-	content, r := c.Check()
+	content, r := c.Decode()
+	if r == nil {
+		r = c.Authorise(content)
+	}
 	if r != nil {
 		return s.refuse(c, r)
 	}
--- a/plugin/operator/changes.go
+++ b/plugin/operator/changes.go
@@ -51,7 +51,9 @@
 	})
 }
 
-// decodeChange makes all checks that need no state.
+// decodeChange makes the checks that depend on nothing but the request. Only a
+// change that fails them may be refused without the log, because an earlier
+// attempt with the same ID may still be decided otherwise.
 func decodeChange(body []byte, who Identity) (*change.Change, *change.Refusal) {
 	var q request
 	if err := resource.DecodeLimit(body, maxRequestBytes, &q); err != nil {
@@ -65,7 +67,7 @@
 		ID: q.ID, Operator: who.Name, Organisation: who.Organisation, Roles: who.Roles,
 		Kind: q.Kind, Action: q.Action, Name: q.Name, ExpectedRevision: q.ExpectedRevision, Body: q.Body,
 	}
-	_, r := c.Check()
+	_, r := c.Decode()
 	return c, r
 }
 
