--- a/plugin/catalog/plugin.go
+++ b/plugin/catalog/plugin.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,8 +46,10 @@
 	// mu guards the replicated state.
 	mu *rank.RWMutex
 	s  *state
-	// notifying tells that a notification is queued and not yet running.
-	notifying bool
+
+	// notifying tells that a notification is queued and not yet running. It stands
+	// outside mu, so that a long Snapshot does not hold up notifications.
+	notifying atomic.Bool
 }
 
 func newCatalog(c *kernel.Context) *Catalog {
@@ -146,11 +149,7 @@
 
 // notify queues a notification of the watchers unless one is queued already.
 func (t *Catalog) notify() {
-	t.mu.Lock()
-	queued := t.notifying
-	t.notifying = true
-	t.mu.Unlock()
-	if queued {
+	if t.notifying.Swap(true) {
 		return
 	}
 	if err := t.c.Next(watchKey, t.callWatchers); errors.Is(err, pool.ErrFull) {
@@ -159,10 +158,8 @@
 }
 
 func (t *Catalog) callWatchers() {
-	t.mu.Lock()
-	t.notifying = false
-	v := t.s.version
-	t.mu.Unlock()
+	t.notifying.Store(false) // before the version is read, so that no rise is missed
+	v := t.Version()
 	for _, f := range t.watchers {
 		f(v)
 	}
--- a/plugin/operator/changes.go
+++ b/plugin/operator/changes.go
@@ -4,7 +4,9 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json/jsontext"
 	"github.com/labstack/echo/v4"
 
@@ -17,6 +19,12 @@
 // fields around it.
 const maxRequestBytes = resource.MaxBodyBytes + 2048
 
+// answerGrace lets the log's own answer, which knows more, come before the bound
+// of the wait.
+const answerGrace = time.Second
+
+var errIsolated = errors.New("the instance is isolated from the quorum")
+
 // request is the body of POST /v1/changes.
 type request struct {
 	ID               string         `json:"id"`
@@ -39,7 +47,7 @@
 		text := "no decision yet; send the same change again"
 		return answer{http.StatusAccepted, change.Outcome{ID: id.Load().(string), State: change.StateUndecided, Text: text}}
 	}
-	return o.await(e, o.s.DecisionTimeout.D(), late, func(reply func(answer)) {
+	return o.await(e, o.s.DecisionTimeout.D()+answerGrace, late, func(reply func(answer)) {
 		c, r := decodeChange(body, who)
 		if r != nil {
 			o.c.Log.Log(evRefused).Str("operator", who.Name).Str("change", c.ID).Str("reason", string(r.Reason)).Str("text", r.Text).Send()
@@ -47,6 +55,11 @@
 			return
 		}
 		id.Store(c.ID)
+		if o.isolated() {
+			// The command tries another instance at once instead of after the timeout.
+			reply(o.decided(c, change.Outcome{}, verdict.Wrap(verdict.NotRun, errIsolated)))
+			return
+		}
 		o.catalog.Submit(c, o.s.DecisionTimeout.D(), func(out change.Outcome, err error) { reply(o.decided(c, out, err)) })
 	})
 }
--- a/plugin/operator/operator_test.go
+++ b/plugin/operator/operator_test.go
@@ -57,6 +57,8 @@
 	addr := kerneltest.FreeAddress(t)
 	text := fmt.Sprintf(`{"instance": {"name": "a"}, "operator": {"listen": %q, "tokens_file": "../../examples/operators.json"%s}}`, addr, more)
 	k, _ := kerneltest.Start(t, []string{"quorum", "distribution", "catalog", "operator"}, text, false)
+	// The server waits five seconds for a connection that never carried a request.
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
 	s := &server{t, addr, k.Service("quorum").(*apitest.Quorum)}
 	kerneltest.Wait(t, 5*time.Second, "operators' listener", func() bool {
 		r, err := http.Get("http://" + addr + "/v1/status")
@@ -181,6 +183,55 @@
 	}
 }
 
+// Guards against a race in which two operators both win, through the whole API.
+func TestConcurrentRevisionsAcceptExactlyOne(t *testing.T) {
+	s := start(t, "")
+	s.change(tokenInes, "t", "template", "put", "one", 0, templateBody, "accepted", "")
+	s.change(tokenMojca, "k", "team", "put", "quilts", 0, team("quilts", "kranjc", "q.example", "order-desk"), "accepted", "")
+	revision := 2.0
+	for round := range 10 {
+		won, read := make(chan float64, 8), revision
+		for i := range 8 {
+			go func() {
+				body := fmt.Sprintf(`{"id": "r%d-%d", "kind": "team", "action": "revise", "name": "quilts", "expected_revision": %v, "body": %s}`,
+					round, i, read, team("quilts", "kranjc", fmt.Sprintf("q%d.example", i), "order-desk"))
+				_, m := s.call("POST", "/v1/changes", tokenMojca, body)
+				v, _ := m["version"].(float64)
+				won <- v
+			}()
+		}
+		accepted := 0
+		for range 8 {
+			if v := <-won; v > 0 {
+				accepted, revision = accepted+1, v
+			}
+		}
+		if accepted != 1 {
+			t.Fatalf("round %d: %d changes accepted", round, accepted)
+		}
+	}
+}
+
+// Guards against waits without bound, and against answers to them that do not
+// name the change.
+func TestWaitsAreBounded(t *testing.T) {
+	s := start(t, `, "decision_timeout": "100ms", "max_waiting": 1`)
+	s.log.SetFault(apitest.Silent)
+	body := fmt.Sprintf(`{"id": "slow", "kind": "template", "action": "put", "name": "one", "body": %s}`, templateBody)
+	done := make(chan string, 1)
+	go func() {
+		code, m := s.call("POST", "/v1/changes", tokenInes, body)
+		done <- fmt.Sprintf("%d %v %v", code, m["state"], m["id"])
+	}()
+	kerneltest.Wait(t, 5*time.Second, "the proposal", func() bool { return s.log.Status().Commit > 0 })
+	if code, _ := s.call("GET", "/v1/teams", tokenInes, ""); code != http.StatusServiceUnavailable {
+		t.Errorf("request above the bound: status %d", code)
+	}
+	if got := <-done; got != "202 undecided slow" {
+		t.Fatalf("answer %s", got)
+	}
+}
+
 // Guards against an isolated instance that calls its data current or a change
 // refused, and against a lost answer that is taken for a refusal.
 func TestIsolatedInstance(t *testing.T) {
