--- a/plugin/journal/snapshot.go
+++ b/plugin/journal/snapshot.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"os"
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
@@ -140,6 +141,9 @@
 func readSnapshot(fs FS, dir string, index, term uint64) (replog.Snapshot, error) {
 	path := filepath.Join(dir, snapshotName(index, term))
 	b, err := fs.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return replog.Snapshot{}, &CorruptError{File: path, Err: err}
+	}
 	if err != nil {
 		return replog.Snapshot{}, errors.Wrap(err, "read snapshot")
 	}
