--- a/cmd/celeryyard-load/main.go
+++ b/cmd/celeryyard-load/main.go
@@ -10,6 +10,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/plugin/experiment"
 	"github.com/celeryyard/celeryyard/plugin/load"
 	"github.com/celeryyard/celeryyard/role"
 )
@@ -25,6 +26,12 @@
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	_, err := p.AddCommand("run", "generate load and check every answer", "",
 		&load.Command{Plugins: role.Load(), Stdout: stdout})
+	if err == nil {
+		_, err = p.AddCommand("experiment", "measure the system; all scenarios unless some are named", "", &experiment.Command{
+			Plugins: experiment.Plugins{Control: role.Control(), Node: role.Node(), Upstream: role.Upstream(), Load: role.Load()},
+			Stdout:  stdout,
+		})
+	}
 	if err == nil {
 		_, err = p.ParseArgs(args)
 	}
--- /dev/null
+++ b/core/layout/changes.go
@@ -0,0 +1,71 @@
+package layout
+
+import "fmt"
+
+// Tokens of the operators in Tokens; they protect nothing but test fleets.
+const (
+	TokenNorte  = "test-token-tacto-norte-0123456789"
+	TokenKranjc = "test-token-kranjc-0123456789"
+)
+
+// Token returns the token of the operator of an organisation.
+func Token(organisation string) string {
+	if organisation == "kranjc" {
+		return TokenKranjc
+	}
+	return TokenNorte
+}
+
+// Tokens returns the content of the operators' token file.
+func Tokens() map[string]any {
+	entry := func(name, organisation, token string) map[string]any {
+		return map[string]any{"name": name, "organisation": organisation, "roles": []string{"team", "template"}, "token": token}
+	}
+	return map[string]any{"operators": []map[string]any{
+		entry("operator-norte", "tacto-norte", TokenNorte), entry("operator-kranjc", "kranjc", TokenKranjc),
+	}}
+}
+
+// TemplateName is the name of the template of all teams.
+const TemplateName = "service"
+
+// Template returns the template that both organisations share: one cluster for
+// a service, a route for its host, and one more route for each path in "extra".
+func Template() map[string]any {
+	return map[string]any{
+		"name": TemplateName,
+		"parameters": map[string]any{
+			"service":    map[string]any{"type": "string"},
+			"host":       map[string]any{"type": "string"},
+			"timeout_ms": map[string]any{"type": "int", "default": 5000, "min": 1, "max": 60000},
+			"slow_start": map[string]any{"type": "int", "default": 0, "min": 0, "max": 600000},
+			"extra":      map[string]any{"type": "list", "default": []string{}, "max": 64},
+		},
+		"clusters": []map[string]any{{"name": "main", "service": "${service}", "slow_start_ms": "${slow_start}"}},
+		"routes": []map[string]any{
+			{"name": "all", "host": "${host}", "path_prefix": "/", "cluster": "main", "timeout_ms": "${timeout_ms}"},
+			{"name": "extra-${item}", "for_each": "extra", "host": "${host}", "path_prefix": "/${item}", "cluster": "main"},
+		},
+	}
+}
+
+// Team returns the parameters of the team of a service. A change of timeout or
+// extra makes another revision.
+func Team(s Service, timeoutMillis int, extra []string) map[string]any {
+	if extra == nil {
+		extra = []string{}
+	}
+	return map[string]any{
+		"name": s.Name, "organisation": s.Organisation, "template": TemplateName,
+		"parameters": map[string]any{"service": s.Name, "host": s.Host(), "timeout_ms": timeoutMillis, "extra": extra},
+	}
+}
+
+// Extra returns n path names.
+func Extra(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("p%d", i)
+	}
+	return list
+}
--- /dev/null
+++ b/core/layout/settings.go
@@ -0,0 +1,87 @@
+package layout
+
+import (
+	"maps"
+	"path/filepath"
+)
+
+// section is one section of a settings file.
+type section = map[string]any
+
+// dataFolder is the data folder of a control instance.
+func (f *Fleet) dataFolder(name string) string { return filepath.Join(f.Spec.Folder, "data-"+name) }
+
+func (f *Fleet) instance(name string, z Zone) section {
+	s := section{"name": name, "availability_zone": z.Name, "region": z.Region, "fleet_key_file": f.KeyFile}
+	if f.Spec.LogLevel != "" {
+		s["log_level"] = f.Spec.LogLevel
+	}
+	if f.Spec.Seed != 0 {
+		s["seed"] = f.Spec.Seed
+	}
+	return s
+}
+
+func (f *Fleet) control(m member, members []member) Process {
+	p := Process{Name: m.name, Zone: m.zone.Name, Admin: f.Spec.Address(), Operators: f.Spec.Address()}
+	in := f.instance(m.name, m.zone)
+	var voters []string
+	for _, v := range members {
+		if v.voter {
+			voters = append(voters, v.name)
+		}
+	}
+	if m.voter {
+		in["data_folder"] = f.dataFolder(m.name)
+	}
+	p.Settings = extend(map[string]any{
+		"instance": in,
+		"admin":    section{"listen": p.Admin},
+		"peer":     section{"listen": m.peer, "instances": f.instances(m.zone.Name, members)},
+		"quorum":   section{"voters": voters},
+		"operator": section{"listen": p.Operators, "tokens_file": f.TokensFile},
+	}, f.Spec.Control)
+	return p
+}
+
+func (f *Fleet) node(name string, z Zone, svc Service, local, callers string, members []member) Process {
+	p := Process{Name: name, Zone: z.Name, Service: svc.Name, Admin: f.Spec.Address(), Callers: callers}
+	inbound := f.Spec.Address()
+	p.Settings = extend(map[string]any{
+		"instance": f.instance(name, z),
+		"admin":    section{"listen": p.Admin},
+		"peer":     section{"instances": f.instances(z.Name, members)},
+		"announce": section{"listen": local, "address": inbound},
+		"outbound": section{"listen": callers},
+		"inbound":  section{"listen": inbound},
+	}, f.Spec.Node)
+	return p
+}
+
+func (f *Fleet) upstream(name string, z Zone, svc Service, local, callers string) Process {
+	p := Process{Name: name, Zone: z.Name, Service: svc.Name, Admin: f.Spec.Address(), Report: f.Spec.Address()}
+	in := f.instance(name, z)
+	delete(in, "fleet_key_file") // an upstream is no process of the fleet
+	p.Settings = extend(map[string]any{
+		"instance": in,
+		"admin":    section{"listen": p.Admin},
+		"standin": section{
+			"service": svc.Name, "listen": f.Spec.Address(), "report": p.Report, "node": local, "slots": svc.Slots,
+			"chain": section{"node": callers, "host": svc.Host()},
+		},
+	}, f.Spec.Upstream)
+	return p
+}
+
+// extend sets the fields of more in the sections of settings.
+func extend(settings map[string]any, more map[string]map[string]any) map[string]any {
+	for name, fields := range more {
+		s, ok := settings[name].(section)
+		if !ok {
+			s = section{}
+			settings[name] = s
+		}
+		maps.Copy(s, fields)
+	}
+	return settings
+}
--- /dev/null
+++ b/plugin/experiment/plugin.go
@@ -0,0 +1,123 @@
+// Package experiment measures the system. Each scenario runs control instances,
+// nodes and stand-ins as kernels inside this process, connected by real sockets,
+// and reports figures beside the stated targets.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/event"
+)
+
+var (
+	evScenario = event.Declare(960, zerolog.InfoLevel, "scenario has started")
+	evMeasured = event.Declare(961, zerolog.InfoLevel, "scenario has finished")
+	evBroken   = event.Declare(962, zerolog.ErrorLevel, "scenario could not be measured")
+)
+
+// scenario is one experiment that can run alone.
+type scenario struct {
+	name string
+	run  func(e *env) error
+}
+
+var scenarios []scenario
+
+// register adds a scenario; it is called from init functions.
+func register(name string, run func(e *env) error) {
+	scenarios = append(scenarios, scenario{name, run})
+	sort.Slice(scenarios, func(i, j int) bool { return scenarios[i].name < scenarios[j].name })
+}
+
+// Names returns the names of all scenarios.
+func Names() []string {
+	var names []string
+	for _, s := range scenarios {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+func find(name string) *scenario {
+	for i := range scenarios {
+		if scenarios[i].name == name {
+			return &scenarios[i]
+		}
+	}
+	return nil
+}
+
+// Experiment is the plug-in. It runs its scenarios once after Start.
+type Experiment struct {
+	c      *kernel.Context
+	s      *Settings
+	cancel context.CancelFunc
+	done   chan struct{}
+	result Result // written before done is closed
+}
+
+func newExperiment(c *kernel.Context) *Experiment {
+	return &Experiment{c: c, s: c.Settings.(*Settings), done: make(chan struct{})}
+}
+
+// Start implements kernel.Plugin.
+func (x *Experiment) Start(ctx context.Context) error {
+	ctx, x.cancel = context.WithCancel(ctx)
+	go x.drive(ctx)
+	return nil
+}
+
+// Stop implements kernel.Plugin.
+func (x *Experiment) Stop(ctx context.Context) error {
+	x.cancel()
+	select {
+	case <-x.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Done is closed when the result is complete.
+func (x *Experiment) Done() <-chan struct{} { return x.done }
+
+// Result returns the result; it is valid after Done.
+func (x *Experiment) Result() *Result { return &x.result }
+
+// drive runs the scenarios one after another.
+func (x *Experiment) drive(ctx context.Context) {
+	defer close(x.done)
+	x.result = Result{Settings: *x.s, Rows: []Row{}, Errors: []string{}, OK: true}
+	for _, name := range x.s.Scenarios {
+		x.c.Log.Log(evScenario).Str("scenario", name).Send()
+		if err := x.measure(ctx, find(name)); err != nil {
+			x.c.Log.Log(evBroken).Str("scenario", name).Err(err).Send()
+			x.result.Errors = append(x.result.Errors, fmt.Sprintf("%s: %v", name, err))
+			x.result.OK = false
+			continue
+		}
+		x.c.Log.Log(evMeasured).Str("scenario", name).Send()
+	}
+	for i := range x.result.Rows {
+		x.result.OK = x.result.OK && x.result.Rows[i].Within()
+	}
+}
+
+func (x *Experiment) measure(ctx context.Context, s *scenario) error {
+	dir, err := os.MkdirTemp(x.s.Folder, "celeryyard-experiment-")
+	if err != nil {
+		return errors.Wrap(err, "folder of the experiment")
+	}
+	defer os.RemoveAll(dir)
+	e := &env{ctx: ctx, s: x.s, scenario: s.name, dir: dir, log: os.Stderr}
+	err = s.run(e)
+	x.result.Rows = append(x.result.Rows, e.rows...)
+	return err
+}
--- /dev/null
+++ b/plugin/experiment/result.go
@@ -0,0 +1,57 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Result is the outcome of all scenarios of a run.
+type Result struct {
+	Settings Settings `json:"settings"`
+	Rows     []Row    `json:"rows"`
+	// Errors holds scenarios that could not be measured.
+	Errors []string `json:"errors"`
+	OK     bool     `json:"ok"`
+}
+
+// Row is one measured figure.
+type Row struct {
+	Scenario string `json:"scenario"`
+	// Case names the conditions, such as "60 nodes, quiet".
+	Case string `json:"case"`
+	// Variant is what is compared: "baseline" or "candidate" with its setting.
+	Variant string  `json:"variant"`
+	Figure  string  `json:"figure"`
+	Value   float64 `json:"value"`
+	Unit    string  `json:"unit"`
+	// Limit is the stated target, which the value must not exceed; 0 means none.
+	Limit float64 `json:"limit,omitzero"`
+	// Samples counts the measurements behind the value.
+	Samples int `json:"samples"`
+}
+
+// Within reports whether the value keeps its limit.
+func (r *Row) Within() bool { return r.Limit == 0 || r.Value <= r.Limit }
+
+// WriteTable writes the rows as a short table.
+func (r *Result) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "SCENARIO\tCASE\tVARIANT\tFIGURE\tVALUE\tUNIT\tLIMIT\tSAMPLES")
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		limit := "-"
+		switch {
+		case row.Limit != 0 && row.Within():
+			limit = fmt.Sprintf("%g ok", row.Limit)
+		case row.Limit != 0:
+			limit = fmt.Sprintf("%g EXCEEDED", row.Limit)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%.3f\t%s\t%s\t%d\n",
+			row.Scenario, row.Case, row.Variant, row.Figure, row.Value, row.Unit, limit, row.Samples)
+	}
+	for _, e := range r.Errors {
+		fmt.Fprintf(t, "error: %s\n", e)
+	}
+	return t.Flush()
+}
--- a/plugin/load/send.go
+++ b/plugin/load/send.go
@@ -81,6 +81,9 @@
 	if l.s.Depth > 0 {
 		req.Header.Set(answer.HeaderDepth, strconv.Itoa(l.s.Depth))
 	}
+	if l.s.Direct {
+		req.Header.Set(answer.HeaderDirect, "1")
+	}
 	if p.Kind == KindKeyed {
 		req.Header.Set("Idempotency-Key", p.ID)
 	}
--- a/plugin/load/setup.go
+++ b/plugin/load/setup.go
@@ -49,6 +49,8 @@
 	// calls behind each call.
 	AnswerBytes int `json:"answer_bytes"`
 	Depth       int `json:"depth"`
+	// Direct asks for a chain of calls without nodes; see standin.Chain.
+	Direct bool `json:"direct"`
 	// Timeout bounds one attempt.
 	Timeout settings.Duration `json:"timeout"`
 	// DropPercent of the calls with an Idempotency-Key drop their first answer,
--- a/plugin/standin/announce.go
+++ b/plugin/standin/announce.go
@@ -34,10 +34,10 @@
 			return
 		case <-timer.C:
 		}
-		err := p.tell(ctx, http.MethodPut, announceTimeout)
+		// An announcement is not cancelled: the node could take it after the
+		// withdrawal that follows.
+		err := p.tell(context.Background(), http.MethodPut, announceTimeout)
 		switch {
-		case ctx.Err() != nil:
-			return
 		case err != nil:
 			p.c.Log.Log(evNotTaken).Str("node", p.s.Node).Err(err).Send()
 		case !taken:
--- a/plugin/standin/answer/answer.go
+++ b/plugin/standin/answer/answer.go
@@ -19,6 +19,8 @@
 	HeaderBytes = "X-Call-Bytes"
 	// HeaderDepth is the number of further calls in the chain behind this one.
 	HeaderDepth = "X-Call-Depth"
+	// HeaderDirect makes the chain go from stand-in to stand-in, without nodes.
+	HeaderDirect = "X-Call-Direct"
 	// HeaderFault asks for a fault; see standin.ParseFault.
 	HeaderFault = "X-Call-Fault"
 	// HeaderUpstream names the stand-in that executed the call, in answers.
--- a/plugin/standin/serve.go
+++ b/plugin/standin/serve.go
@@ -33,7 +33,9 @@
 	id    string
 	bytes int
 	depth int
-	fault Fault
+	// direct makes the chain go without nodes.
+	direct bool
+	fault  Fault
 	// status and err are the outcome.
 	status int
 	err    error
@@ -68,7 +70,8 @@
 }
 
 func (p *Standin) parse(r *http.Request) (*call, error) {
-	c := &call{id: r.Header.Get(answer.HeaderID), bytes: p.s.AnswerBytes, status: http.StatusOK}
+	c := &call{id: r.Header.Get(answer.HeaderID), bytes: p.s.AnswerBytes, status: http.StatusOK,
+		direct: r.Header.Get(answer.HeaderDirect) != ""}
 	var err error
 	if v := r.Header.Get(answer.HeaderBytes); v != "" {
 		if c.bytes, err = strconv.Atoi(v); err != nil || c.bytes < 0 || c.bytes > answer.MaxBytes {
@@ -125,8 +128,12 @@
 
 // next calls the next service of the chain through the node beside the stand-in.
 func (p *Standin) next(ctx context.Context, c *call) error {
-	if p.s.Chain.Node == "" {
-		return errors.New("chain/node is not set")
+	to := p.s.Chain.Node
+	if c.direct {
+		to = p.s.Chain.Direct
+	}
+	if to == "" {
+		return errors.New("the settings of the chain name no next process")
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.s.Chain.Timeout.D())
 	defer cancel()
@@ -139,7 +146,10 @@
 	req.Header.Set(answer.HeaderID, id)
 	req.Header.Set(answer.HeaderBytes, strconv.Itoa(c.bytes))
 	req.Header.Set(answer.HeaderDepth, strconv.Itoa(c.depth-1))
-	res, err := p.client.Do(ctx, p.s.Chain.Node, req)
+	if c.direct {
+		req.Header.Set(answer.HeaderDirect, "1")
+	}
+	res, err := p.client.Do(ctx, to, req)
 	if err != nil {
 		return err
 	}
--- a/plugin/standin/setup.go
+++ b/plugin/standin/setup.go
@@ -101,6 +101,9 @@
 	// Host and Path go into the request for the next service.
 	Host string `json:"host"`
 	Path string `json:"path"`
+	// Direct is IP:port of another stand-in, called instead of Node for calls with
+	// the header X-Call-Direct; experiments compare the two ways.
+	Direct string `json:"direct"`
 	// Timeout bounds the call.
 	Timeout settings.Duration `json:"timeout"`
 }
@@ -117,7 +120,7 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
-	for field, a := range map[string]string{"listen": s.Listen, "report": s.Report, "node": s.Node, "chain/node": s.Chain.Node} {
+	for field, a := range map[string]string{"listen": s.Listen, "report": s.Report, "node": s.Node, "chain/node": s.Chain.Node, "chain/direct": s.Chain.Direct} {
 		if a == "" && field != "listen" {
 			continue
 		}
