--- a/role/role.go
+++ b/role/role.go
@@ -10,9 +10,11 @@
 	_ "github.com/celeryyard/celeryyard/plugin/distribution" // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/idempotency"  // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/inbound"      // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/journal"      // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/operator"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/outbound"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/peer"         // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/quorum"       // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/session"      // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/trace"        // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/view"         // registers itself
@@ -20,7 +22,7 @@
 
 // Control lists the plug-ins of a control instance.
 func Control() []string {
-	return []string{"admin", "trace", "peer", "catalog", "operator", "discovery", "distribution"}
+	return []string{"admin", "trace", "peer", "journal", "quorum", "catalog", "operator", "discovery", "distribution"}
 }
 
 // Node lists the plug-ins of the process beside an upstream.
