--- a/plugin/load/result.go
+++ b/plugin/load/result.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"sort"
@@ -35,9 +36,10 @@
 	OK          bool           `json:"ok"`
 }
 
-// Group sums up the calls of one organisation and kind.
+// Group sums up the calls of one organisation, host and kind.
 type Group struct {
 	Organisation string `json:"organisation"`
+	Host         string `json:"host"`
 	Kind         Kind   `json:"kind"`
 	Calls        int    `json:"calls"`
 	Succeeded    int    `json:"succeeded"`
@@ -109,7 +111,7 @@
 	}
 }
 
-// group sums up the entries by organisation and kind, in order of both.
+// group sums up the entries by organisation, host and kind, in that order.
 func group(s *Settings, entries []Entry) []Group {
 	type key struct {
 		organisation int
@@ -138,13 +140,13 @@
 	groups := make([]Group, 0, len(all))
 	for k, g := range all {
 		groups = append(groups, Group{
-			Organisation: s.Organisations[k.organisation].Name, Kind: k.kind, Calls: g.calls, Succeeded: g.succeeded,
+			Organisation: s.Organisations[k.organisation].Name, Host: s.Organisations[k.organisation].Host, Kind: k.kind, Calls: g.calls, Succeeded: g.succeeded,
 			FromArrival: QuantilesOf(g.arrival), FromSend: QuantilesOf(g.send),
 		})
 	}
 	sort.Slice(groups, func(i, j int) bool {
 		a, b := groups[i], groups[j]
-		return a.Organisation < b.Organisation || a.Organisation == b.Organisation && a.Kind < b.Kind
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Kind, b.Kind)) < 0
 	})
 	return groups
 }
@@ -156,11 +158,11 @@
 		r.Run, r.Settings.Seed, r.Calls, r.Seconds, r.Succeeded, r.Repeated, r.Executions, len(r.Duplicates))
 	fmt.Fprintf(t, "failed: not-run %d, may-have-run %d; outcomes: %s\n",
 		r.FailedByVerdict[verdict.NotRun.String()], r.FailedByVerdict[verdict.MayHaveRun.String()], listCounts(r.Outcomes))
-	fmt.Fprintln(t, "ORGANISATION\tKIND\tCALLS\tOK\tP50 ms\tP99 ms\tP99.9 ms\tMAX ms\tSEND P99 ms")
+	fmt.Fprintln(t, "ORGANISATION\tHOST\tKIND\tCALLS\tOK\tP50 ms\tP99 ms\tP99.9 ms\tMAX ms\tSEND P99 ms")
 	for _, g := range r.Groups {
 		a := g.FromArrival
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n",
-			g.Organisation, g.Kind, g.Calls, g.Succeeded, a.P50, a.P99, a.P999, a.Max, g.FromSend.P99)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\n",
+			g.Organisation, g.Host, g.Kind, g.Calls, g.Succeeded, a.P50, a.P99, a.P999, a.Max, g.FromSend.P99)
 	}
 	for _, c := range r.Checks {
 		state := "ok"
--- a/test/e2e/demo_test.go
+++ b/test/e2e/demo_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/celeryyard/celeryyard/core/layout"
+	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/plugin/load"
 	"github.com/celeryyard/celeryyard/test/harness"
 )
@@ -120,7 +121,7 @@
 	body := layout.Team(service, 5000+d.changes, nil)
 	if d.revisions[service.Name] == 0 {
 		out, code := d.f.Command(service.Organisation, "team", "revise", "--expected-revision", "1000000", d.f.File("stale.json", body))
-		if code != 3 {
+		if code != kernel.ExitRefused {
 			d.t.Fatalf("a change with a wrong revision is not refused: exit code %d, %s", code, out)
 		}
 		d.revisions[service.Name] = harness.Field(out, "revision")
--- a/test/e2e/report_test.go
+++ b/test/e2e/report_test.go
@@ -32,7 +32,7 @@
 		r.Calls, r.Succeeded, r.Repeated, r.FailedByVerdict["not-run"], r.FailedByVerdict["may-have-run"], r.Outcomes)
 	d.line("executions: %d, duplicates of non-idempotent calls: %d (must be 0)", r.Executions, len(r.Duplicates))
 	for _, g := range r.Groups {
-		d.line("  %-11s %-5s p50 %.2f ms, p99 %.2f ms, %d of %d succeeded", g.Organisation, g.Kind, g.FromArrival.P50, g.FromArrival.P99, g.Succeeded, g.Calls)
+		d.line("  %-29s %-5s p50 %.2f ms, p99 %.2f ms, %d of %d succeeded", g.Host, g.Kind, g.FromArrival.P50, g.FromArrival.P99, g.Succeeded, g.Calls)
 	}
 	for _, c := range r.Checks {
 		if !c.OK {
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/go-json-experiment/json"
 
 	"github.com/celeryyard/celeryyard/core/layout"
+	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/plugin/experiment/relay"
 	"github.com/celeryyard/celeryyard/plugin/load"
 )
@@ -145,7 +146,8 @@
 	}
 	timer := time.AfterFunc(commandLimit, func() { _ = cmd.Process.Kill() })
 	defer timer.Stop()
-	if err := cmd.Wait(); err != nil {
+	// A refused change is an answer; anything else is worth a look.
+	if err := cmd.Wait(); err != nil && cmd.ProcessState.ExitCode() != kernel.ExitRefused {
 		f.t.Logf("%s %v: %v\n%s", program, args, err, tail(errs.Bytes()))
 	}
 	return out.String(), cmd.ProcessState.ExitCode()
