layout: spread endpoints of all services evenly over the zones

Cause: with few endpoints a service no endpoint was in the last zone, so the reconnect case had no nodes. Change: zones rotate over all nodes.

--- a/core/layout/layout.go
+++ b/core/layout/layout.go
@@ -136,7 +136,7 @@
 		zones = slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return !slices.Contains(svc.Zones, z.Name) })
 	}
 	for i := range svc.Endpoints {
-		z := zones[i%len(zones)]
+		z := zones[len(f.Nodes)%len(zones)]
 		name := fmt.Sprintf("%s-%s-%d", svc.Name, z.Name, i+1)
 		local, callers := f.Spec.Address(), f.Spec.Address()
 		f.Nodes = append(f.Nodes, f.node("node-"+name, z, svc, local, callers, members))
