--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -122,6 +122,8 @@
 		barriers:  c.Metrics.NewCounter("celeryyard_quorum_barriers_total"),
 		snapshots: c.Metrics.NewCounter("celeryyard_quorum_snapshots_total"),
 	}
+	c.Metrics.NewGauge("celeryyard_quorum_leader", func() float64 { return oneIf(q.Status().Role == "leader") })
+	c.Metrics.NewGauge("celeryyard_quorum_voter", func() float64 { return oneIf(q.Status().Role != "learner") })
 	c.Metrics.NewGauge("celeryyard_quorum_commit_index", func() float64 { return float64(q.Status().Commit) })
 	c.Metrics.NewGauge("celeryyard_quorum_confirmed_age_seconds", func() float64 {
 		if s := q.Status(); !s.Confirmed.IsZero() {
@@ -324,3 +326,11 @@
 		q.asked = 0 // ask the new connection at once
 	})
 }
+
+// oneIf is the value of a gauge that tells whether something holds.
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -128,11 +128,22 @@
 // standard output and exit code.
 func (f *Fleet) Command(organisation string, args ...string) (string, int) {
 	f.t.Helper()
-	all := []string{"--token-file", f.tokenFile(organisation), "--output", "json"}
+	var all []string
 	for _, a := range f.Operators() {
 		all = append(all, "--server", a)
 	}
-	return f.run("celeryyard", append(all, args...)...)
+	return f.command(organisation, append(all, args...))
+}
+
+// CommandAt is Command with one control instance only.
+func (f *Fleet) CommandAt(server, organisation string, args ...string) (string, int) {
+	f.t.Helper()
+	return f.command(organisation, append([]string{"--server", server}, args...))
+}
+
+func (f *Fleet) command(organisation string, args []string) (string, int) {
+	f.t.Helper()
+	return f.run("celeryyard", append([]string{"--token-file", f.tokenFile(organisation), "--output", "json"}, args...)...)
 }
 
 // run runs a program and returns its standard output and exit code.
