catalog, operator: replay of recorded changes; shares of organisations

Cause: one organisation could use up the waits and the log of all operators; decisions were compared with nothing recorded from real runs.

--- a/plugin/catalog/plugin.go
+++ b/plugin/catalog/plugin.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/rs/zerolog"
 
 	"github.com/celeryyard/celeryyard/core/api"
@@ -19,6 +20,7 @@
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
+	"github.com/celeryyard/celeryyard/plugin/trace"
 )
 
 var (
@@ -39,6 +41,7 @@
 type Catalog struct {
 	c        *kernel.Context
 	log      api.Log
+	trace    *trace.Trace
 	watchers []func(resource.Version)
 
 	accepted, refused *metrics.Counter
@@ -54,7 +57,7 @@
 
 func newCatalog(c *kernel.Context) *Catalog {
 	t := &Catalog{
-		c: c, log: kernel.Use[api.Log](c, "quorum"), mu: rank.NewRW(rank.Catalog), s: newState(),
+		c: c, log: kernel.Use[api.Log](c, "quorum"), trace: trace.Of(c), mu: rank.NewRW(rank.Catalog), s: newState(),
 		accepted: c.Metrics.NewCounter("celeryyard_catalog_accepted_total"),
 		refused:  c.Metrics.NewCounter("celeryyard_catalog_refused_total"),
 	}
@@ -76,6 +79,7 @@
 
 // Apply implements api.StateMachine. The result is a change.Outcome.
 func (t *Catalog) Apply(index uint64, data []byte) any {
+	t.trace.Record("catalog", "entry", t.c.Clock.Now(), "", jsontext.Value(data))
 	e, err := decodeEntry(data)
 	if err != nil {
 		t.c.Log.Log(evMalformed).Uint("index", index).Err(err).Send()
--- a/plugin/catalog/setup.go
+++ b/plugin/catalog/setup.go
@@ -6,6 +6,7 @@
 	kernel.Register(kernel.Registration{
 		Name:  "catalog",
 		Needs: []string{"quorum"},
+		After: []string{"trace"},
 		New:   func(c *kernel.Context) (kernel.Plugin, error) { return newCatalog(c), nil },
 	})
 }
--- a/plugin/operator/changes.go
+++ b/plugin/operator/changes.go
@@ -23,7 +23,11 @@
 // of the wait.
 const answerGrace = time.Second
 
-var errIsolated = errors.New("the instance is isolated from the quorum")
+// Causes for which a change does not reach the log at this instance.
+var (
+	errIsolated = errors.New("the instance is isolated from the quorum")
+	errTooMany  = errors.New("the organisation submits changes too fast")
+)
 
 // request is the body of POST /v1/changes.
 type request struct {
@@ -60,6 +64,10 @@
 			reply(o.decided(c, change.Outcome{}, verdict.Wrap(verdict.NotRun, errIsolated)))
 			return
 		}
+		if !o.shares[who.Organisation].changes.AllowN(o.c.Clock.Now(), 1) {
+			reply(o.decided(c, change.Outcome{}, verdict.Wrap(verdict.NotRun, errTooMany)))
+			return
+		}
 		o.catalog.Submit(c, o.s.DecisionTimeout.D(), func(out change.Outcome, err error) { reply(o.decided(c, out, err)) })
 	})
 }
--- a/plugin/operator/http.go
+++ b/plugin/operator/http.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
 	"github.com/labstack/echo/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/celeryyard/celeryyard/kernel/pool"
 )
@@ -48,14 +49,28 @@
 
 func identity(e echo.Context) Identity { return e.Get(identityKey).(Identity) }
 
+// share bounds what one organisation uses of the instance, so that another one
+// does not notice it.
+type share struct {
+	// waiting holds one element for each request that waits for an answer.
+	waiting chan struct{}
+	// changes bounds the changes that reach the log.
+	changes *rate.Limiter
+}
+
+func newShare(s *Settings) *share {
+	return &share{waiting: make(chan struct{}, s.MaxWaiting), changes: rate.NewLimiter(rate.Limit(s.ChangeRate), s.ChangeBurst)}
+}
+
 // await runs start as a job and waits for the answer that it passes to reply, at
 // once or from a later job. After limit it writes the result of late instead.
 func (o *Operator) await(e echo.Context, limit time.Duration, late func() answer, start func(reply func(answer))) error {
+	waiting := o.shares[identity(e).Organisation].waiting
 	select {
-	case o.waiting <- struct{}{}:
-		defer func() { <-o.waiting }()
+	case waiting <- struct{}{}:
+		defer func() { <-waiting }()
 	default:
-		return unavailable(e, "too many requests are waiting")
+		return unavailable(e, "too many requests of the organisation are waiting")
 	}
 	ctx, cancel := context.WithTimeout(e.Request().Context(), limit)
 	defer cancel()
--- a/plugin/operator/operator_test.go
+++ b/plugin/operator/operator_test.go
@@ -212,6 +212,15 @@
 	}
 }
 
+// Guards against an organisation that uses up the log or the waits of another.
+func TestOrganisationsHaveTheirOwnShares(t *testing.T) {
+	s := start(t, `, "change_rate": 0.001, "change_burst": 2`)
+	s.change(tokenMojca, "a", "team", "withdraw", "x", 1, "", "refused", "absent")
+	s.change(tokenMojca, "b", "team", "withdraw", "x", 1, "", "refused", "absent")
+	s.change(tokenMojca, "c", "team", "withdraw", "x", 1, "", "undecided", "")
+	s.change(tokenBerto, "d", "team", "withdraw", "x", 1, "", "refused", "absent")
+}
+
 // Guards against waits without bound, and against answers to them that do not
 // name the change.
 func TestWaitsAreBounded(t *testing.T) {
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -49,8 +49,8 @@
 	echo      *echo.Echo
 	server    *http.Server
 	address   net.Addr
-	// waiting holds one element for each request that waits for an answer.
-	waiting chan struct{}
+	// shares holds the bounds of each organisation. It is read-only after Start.
+	shares map[string]*share
 
 	requests, badTokens *metrics.Counter
 }
@@ -64,7 +64,6 @@
 	}
 	o.fleet, _ = kernel.Find[api.Fleet](c, "distribution")
 	o.discovery, _ = kernel.Find[api.Discovery](c, "discovery")
-	o.waiting = make(chan struct{}, o.s.MaxWaiting)
 	o.routes()
 	return o
 }
@@ -132,6 +131,12 @@
 	if _, err := rand.Read(key); err != nil {
 		return errors.Wrap(err, "key for token hashes")
 	}
-	o.tokens, err = newTokens(key, entries)
-	return errors.Wrapf(err, "%s: operators", o.s.TokensFile)
+	if o.tokens, err = newTokens(key, entries); err != nil {
+		return errors.Wrapf(err, "%s: operators", o.s.TokensFile)
+	}
+	o.shares = map[string]*share{}
+	for _, e := range entries {
+		o.shares[e.Organisation] = newShare(o.s)
+	}
+	return nil
 }
--- a/plugin/operator/setup.go
+++ b/plugin/operator/setup.go
@@ -18,7 +18,9 @@
 				DecisionTimeout: settings.Duration(10 * time.Second),
 				ReadTimeout:     settings.Duration(2 * time.Second),
 				StaleAfter:      settings.Duration(5 * time.Second),
-				MaxWaiting:      256,
+				MaxWaiting:      128,
+				ChangeRate:      50,
+				ChangeBurst:     500,
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newOperator(c), nil },
@@ -40,8 +42,13 @@
 	ReadTimeout settings.Duration `json:"read_timeout"`
 	// StaleAfter is the age from which /v1/status calls the data stale.
 	StaleAfter settings.Duration `json:"stale_after"`
-	// MaxWaiting bounds the requests that wait at one time.
+	// MaxWaiting bounds the requests of one organisation that wait at one time.
 	MaxWaiting int `json:"max_waiting"`
+	// ChangeRate and ChangeBurst bound the changes of one organisation that this
+	// instance proposes, in changes a second. The design capacity of 9,600 changes
+	// a day is 0.11 a second.
+	ChangeRate  float64 `json:"change_rate"`
+	ChangeBurst int     `json:"change_burst"`
 }
 
 // Validate implements settings.Validator.
@@ -65,5 +72,8 @@
 	if s.MaxWaiting < 1 {
 		return settings.Invalid("max_waiting", "%d is below 1", s.MaxWaiting)
 	}
+	if s.ChangeRate <= 0 || s.ChangeBurst < 1 {
+		return settings.Invalid("change_rate", "change_rate must be positive and change_burst at least 1")
+	}
 	return nil
 }
