--- /dev/null
+++ b/role/examples_test.go
@@ -0,0 +1,26 @@
+package role
+
+import (
+	"io"
+	"path/filepath"
+	"testing"
+
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+)
+
+// Guards against example settings that the programs refuse.
+func TestExampleSettingsAreValid(t *testing.T) {
+	for name, plugins := range map[string][]string{
+		"control": Control(), "node": Node(), "upstream": Upstream(), "load": Load(), "experiment": Experiment(),
+	} {
+		file, err := settings.Load(filepath.Join("../examples/settings", name+".json"))
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if err := kernel.Check(kernel.Options{Plugins: plugins, Settings: file, Log: io.Discard}); err != nil {
+			t.Error(err)
+		}
+	}
+}
