--- a/test/e2e/demo_test.go
+++ b/test/e2e/demo_test.go
@@ -113,8 +113,16 @@
 	return r
 }
 
-// change revises or puts a team and waits until all running nodes serve it.
+// change revises a team and waits until all running nodes serve it.
 func (d *demo) change(service layout.Service) {
+	d.t.Helper()
+	answer := d.submit(service)
+	d.times = append(d.times, d.reach(d.running(""), 15*time.Second).Sub(answer.Sent))
+}
+
+// submit revises a team. Before the first time it learns the revision from the
+// refusal of a change with a wrong one.
+func (d *demo) submit(service layout.Service) harness.Decision {
 	d.t.Helper()
 	d.changes++
 	id := fmt.Sprintf("demo-%d", d.changes)
@@ -131,19 +139,37 @@
 		d.t.Fatalf("change %s: %+v after version %d", id, answer, d.last)
 	}
 	d.revisions[service.Name], d.last = answer.Revision, answer.Version
-	var running []*harness.Process
-	for _, p := range d.f.Nodes {
-		if p.Running() {
-			running = append(running, p)
+	return answer
+}
+
+// changeOutside makes a change and waits for the nodes outside a zone.
+func (d *demo) changeOutside(zone string, service layout.Service) {
+	d.t.Helper()
+	d.submit(service)
+	d.reach(d.running(zone), 15*time.Second)
+}
+
+// running returns the nodes that run and are not in the zone.
+func (d *demo) running(without string) []*harness.Process {
+	var list []*harness.Process
+	for i, p := range d.f.Nodes {
+		if p.Running() && d.f.Plan.Nodes[i].Zone != without {
+			list = append(list, p)
 		}
 	}
-	harness.Wait(d.t, 15*time.Second, fmt.Sprintf("all nodes serve version %d", answer.Version), func() bool {
-		at, ok := d.o.Reached(answer.Version, running)
-		if ok {
-			d.times = append(d.times, at.Sub(answer.Sent))
-		}
+	return list
+}
+
+// reach waits until the nodes serve the last version and returns when the last
+// of them was first seen to do so.
+func (d *demo) reach(nodes []*harness.Process, limit time.Duration) (at time.Time) {
+	d.t.Helper()
+	harness.Wait(d.t, limit, fmt.Sprintf("nodes serve version %d", d.last), func() bool {
+		var ok bool
+		at, ok = d.o.Reached(d.last, nodes)
 		return ok
 	})
+	return at
 }
 
 func (d *demo) quietChanges(n int) {
