--- a/plugin/load/result.go
+++ b/plugin/load/result.go
@@ -26,6 +26,8 @@
 	FailedByVerdict map[string]int `json:"failed_by_verdict"`
 	Outcomes        map[string]int `json:"outcomes"`
 	Repeated        int            `json:"repeated"`
+	// Failed holds the first failures, in order of their ends.
+	Failed []Failure `json:"failed"`
 	// Duplicates lists non-idempotent calls that were executed more than once.
 	Duplicates  []string       `json:"duplicates"`
 	Executions  int            `json:"executions"`
@@ -36,6 +38,28 @@
 	OK          bool           `json:"ok"`
 }
 
+// maxFailures bounds Result.Failed.
+const maxFailures = 20
+
+// Failure describes one call without a success.
+type Failure struct {
+	ID      string `json:"id"`
+	Kind    Kind   `json:"kind"`
+	Host    string `json:"host"`
+	Node    string `json:"node"` // the first node that was tried
+	AtMS    int64  `json:"at_ms"`
+	Outcome string `json:"outcome"`
+	Verdict string `json:"verdict"`
+	Error   string `json:"error"`
+}
+
+func failure(s *Settings, e *Entry) Failure {
+	return Failure{
+		ID: e.Plan.ID, Kind: e.Plan.Kind, Host: s.Organisations[e.Plan.Organisation].Host, Node: s.Nodes[e.Plan.Nodes[0]],
+		AtMS: e.Plan.At.Milliseconds(), Outcome: e.Outcome, Verdict: e.Verdict.String(), Error: e.Error,
+	}
+}
+
 // Group sums up the calls of one organisation, host and kind.
 type Group struct {
 	Organisation string `json:"organisation"`
@@ -73,7 +97,7 @@
 func (l *Load) conclude(c collected, seconds float64) Result {
 	entries := l.Ledger()
 	r := Result{
-		Run: l.run, Settings: *l.s, Seconds: seconds, Calls: len(entries), FailedByVerdict: map[string]int{},
+		Run: l.run, Settings: *l.s, Seconds: seconds, Calls: len(entries), FailedByVerdict: map[string]int{}, Failed: []Failure{},
 		Outcomes: map[string]int{}, Duplicates: duplicates(entries, c.counts), Executions: c.total,
 		PerUpstream: c.perUpstream, Silent: c.silent, Groups: group(l.s, entries),
 	}
@@ -87,6 +111,9 @@
 			r.Succeeded++
 		} else {
 			r.FailedByVerdict[e.Verdict.String()]++
+			if len(r.Failed) < maxFailures {
+				r.Failed = append(r.Failed, failure(l.s, e))
+			}
 		}
 	}
 	complete := len(l.s.Reports) > 0 && len(c.silent) == 0
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -45,6 +45,9 @@
 		t.Fatal("the load run has no result")
 	}
 	t.Logf("%d calls, %d succeeded, %d repeated, failed %v, outcomes %v", r.Calls, r.Succeeded, r.Repeated, r.FailedByVerdict, r.Outcomes)
+	for _, e := range r.Failed {
+		t.Logf("failed: %+v", e)
+	}
 	for _, c := range r.Checks {
 		if !c.OK {
 			t.Errorf("%s: %s", c.Name, c.Detail)
--- a/test/e2e/report_test.go
+++ b/test/e2e/report_test.go
@@ -34,6 +34,9 @@
 	for _, g := range r.Groups {
 		d.line("  %-29s %-5s p50 %.2f ms, p99 %.2f ms, %d of %d succeeded", g.Host, g.Kind, g.FromArrival.P50, g.FromArrival.P99, g.Succeeded, g.Calls)
 	}
+	for _, e := range r.Failed {
+		d.line("  failed: %+v", e)
+	}
 	for _, c := range r.Checks {
 		if !c.OK {
 			d.t.Errorf("%s: %s", c.Name, c.Detail)
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -128,11 +128,29 @@
 // standard output and exit code.
 func (f *Fleet) Command(organisation string, args ...string) (string, int) {
 	f.t.Helper()
-	all := []string{"--token-file", f.tokenFile(organisation), "--output", "json"}
+	var servers []string
 	for _, a := range f.Operators() {
-		all = append(all, "--server", a)
+		servers = append(servers, "--server", a)
 	}
-	return f.run("celeryyard", append(all, args...)...)
+	return f.CommandAt(organisation, append(servers, args...)...)
+}
+
+// CommandAt is Command with the option --server among args.
+func (f *Fleet) CommandAt(organisation string, args ...string) (string, int) {
+	f.t.Helper()
+	return f.run("celeryyard", append([]string{"--token-file", f.tokenFile(organisation), "--output", "json"}, args...)...)
+}
+
+// Votes reports whether a control instance is a voter by its own status.
+func (f *Fleet) Votes(control int) bool {
+	f.t.Helper()
+	out, code := f.CommandAt("tacto-norte", "--server", f.Plan.Controls[control].Operators, "status")
+	var s struct {
+		Quorum struct {
+			Role string `json:"role"`
+		} `json:"quorum"`
+	}
+	return code == 0 && json.Unmarshal([]byte(out), &s) == nil && (s.Quorum.Role == "leader" || s.Quorum.Role == "follower")
 }
 
 // run runs a program and returns its standard output and exit code.
