--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -44,7 +44,7 @@
 func TestCallsSurviveLossOfAllControlInstances(t *testing.T) {
 	f, d := started(t, false)
 	d.quietChanges(4)
-	done := background(f, "no-control", f.Callers(), f.Reports(), nil)
+	done := background(f, "no-control", f.Callers(), f.Reports(), map[string]any{"rate": 400})
 	for _, p := range f.Controls {
 		p.Kill()
 	}
