role: one package for each program

Cause: every program contained all plug-ins, since one package imported them all; a node linked the replicated log, and the log linked the proxy. Change: role/control, role/node, role/upstream, role/load. Conclusion: a program is the list of plug-ins that it runs and nothing else.

--- a/cmd/celeryyard-control/main.go
+++ b/cmd/celeryyard-control/main.go
@@ -5,9 +5,9 @@
 	"os"
 
 	"github.com/celeryyard/celeryyard/kernel"
-	"github.com/celeryyard/celeryyard/role"
+	"github.com/celeryyard/celeryyard/role/control"
 )
 
 func main() {
-	os.Exit(kernel.Main("celeryyard-control", role.Control(), os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(kernel.Main("celeryyard-control", control.Plugins(), os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/celeryyard-load/main.go
+++ b/cmd/celeryyard-load/main.go
@@ -12,7 +12,10 @@
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/plugin/experiment"
 	"github.com/celeryyard/celeryyard/plugin/load"
-	"github.com/celeryyard/celeryyard/role"
+	"github.com/celeryyard/celeryyard/role/control"
+	loadrole "github.com/celeryyard/celeryyard/role/load"
+	"github.com/celeryyard/celeryyard/role/node"
+	"github.com/celeryyard/celeryyard/role/upstream"
 )
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -25,11 +28,13 @@
 	}
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	_, err := p.AddCommand("run", "generate load and check every answer", "",
-		&load.Command{Plugins: role.Load(), Stdout: stdout})
+		&load.Command{Plugins: loadrole.Plugins(), Stdout: stdout})
 	if err == nil {
 		_, err = p.AddCommand("experiment", "measure the system; all scenarios unless some are named", "", &experiment.Command{
-			Plugins: experiment.Plugins{Control: role.Control(), Node: role.Node(), Upstream: role.Upstream(), Load: role.Load()},
-			Stdout:  stdout,
+			Plugins: experiment.Plugins{
+				Control: control.Plugins(), Node: node.Plugins(), Upstream: upstream.Plugins(), Load: loadrole.Plugins(),
+			},
+			Stdout: stdout,
 		})
 	}
 	if err == nil {
--- a/cmd/celeryyard-node/main.go
+++ b/cmd/celeryyard-node/main.go
@@ -5,9 +5,9 @@
 	"os"
 
 	"github.com/celeryyard/celeryyard/kernel"
-	"github.com/celeryyard/celeryyard/role"
+	"github.com/celeryyard/celeryyard/role/node"
 )
 
 func main() {
-	os.Exit(kernel.Main("celeryyard-node", role.Node(), os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(kernel.Main("celeryyard-node", node.Plugins(), os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/celeryyard-upstream/main.go
+++ b/cmd/celeryyard-upstream/main.go
@@ -5,9 +5,9 @@
 	"os"
 
 	"github.com/celeryyard/celeryyard/kernel"
-	"github.com/celeryyard/celeryyard/role"
+	"github.com/celeryyard/celeryyard/role/upstream"
 )
 
 func main() {
-	os.Exit(kernel.Main("celeryyard-upstream", role.Upstream(), os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(kernel.Main("celeryyard-upstream", upstream.Plugins(), os.Args[1:], os.Stdout, os.Stderr))
 }
