role: tests name the packages of the programs

Cause: the split of role left one test on the old functions. Change: role tests import the packages of the programs.

--- a/role/examples_test.go
+++ b/role/examples_test.go
@@ -7,12 +7,17 @@
 
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/settings"
+	"github.com/celeryyard/celeryyard/role/control"
+	"github.com/celeryyard/celeryyard/role/load"
+	"github.com/celeryyard/celeryyard/role/node"
+	"github.com/celeryyard/celeryyard/role/upstream"
 )
 
 // Guards against example settings that the programs refuse.
 func TestExampleSettingsAreValid(t *testing.T) {
 	for name, plugins := range map[string][]string{
-		"control": Control(), "node": Node(), "upstream": Upstream(), "load": Load(), "experiment": Experiment(),
+		"control": control.Plugins(), "node": node.Plugins(), "upstream": upstream.Plugins(),
+		"load": load.Plugins(), "experiment": load.Experiment(),
 	} {
 		file, err := settings.Load(filepath.Join("../examples/settings", name+".json"))
 		if err != nil {
--- a/role/role_test.go
+++ b/role/role_test.go
@@ -10,10 +10,6 @@
 
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
-	_ "github.com/celeryyard/celeryyard/role/control"  // registers its plug-ins
-	_ "github.com/celeryyard/celeryyard/role/load"     // registers its plug-ins
-	_ "github.com/celeryyard/celeryyard/role/node"     // registers its plug-ins
-	_ "github.com/celeryyard/celeryyard/role/upstream" // registers its plug-ins
 )
 
 // Guards against events that operators cannot look up, and against rows of the
