docs: settings reference, compared with the code by a test

Cause: a reference written by hand drifts from the code. Conclusion: a new setting needs a comment and a run with -update.

--- a/kernel/context.go
+++ b/kernel/context.go
@@ -37,7 +37,8 @@
 	StopTimeout settings.Duration `json:"stop_timeout"`
 }
 
-func defaultInstance() Instance {
+// DefaultInstance returns the defaults of the section "instance".
+func DefaultInstance() Instance {
 	return Instance{
 		LogLevel: "info", Workers: 4, QueueJobs: 16384,
 		StopTimeout: settings.Duration(30 * time.Second),
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	in := defaultInstance()
+	in := DefaultInstance()
 	if err := o.Settings.Decode("instance", &in); err != nil {
 		return nil, nil, err
 	}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -63,6 +63,15 @@
 	return names
 }
 
+// DefaultSettings returns a new settings struct of a registered plug-in with its
+// defaults, or nil when the plug-in has no settings.
+func DefaultSettings(name string) any {
+	if r := registry[name]; r.Settings != nil {
+		return r.Settings()
+	}
+	return nil
+}
+
 // startOrder sorts the named plug-ins so that each stands after those that it
 // needs. It fails on unknown and missing plug-ins and on cycles.
 func startOrder(names []string) ([]Registration, error) {
--- a/plugin/announce/setup.go
+++ b/plugin/announce/setup.go
@@ -28,6 +28,7 @@
 // Upstream describes the upstream beside the node, in the settings or in a
 // request to the local listener.
 type Upstream struct {
+	// Service is the name of the service that the upstream belongs to.
 	Service string `json:"service"`
 	// Address is IP:port of the upstream.
 	Address string `json:"address"`
--- a/plugin/experiment/setup.go
+++ b/plugin/experiment/setup.go
@@ -45,15 +45,12 @@
 	Coalesce []settings.Duration `json:"coalesce"`
 	// Plugins lists the plug-ins of the kernels that an experiment runs. The
 	// program fills them in from package role.
-	Plugins Plugins `json:"plugins"`
+	Plugins Plugins `json:"-"`
 }
 
 // Plugins lists plug-ins by program.
 type Plugins struct {
-	Control  []string `json:"control"`
-	Node     []string `json:"node"`
-	Upstream []string `json:"upstream"`
-	Load     []string `json:"load"`
+	Control, Node, Upstream, Load []string
 }
 
 func defaults() *Settings {
--- a/plugin/load/setup.go
+++ b/plugin/load/setup.go
@@ -69,6 +69,7 @@
 
 // Organisation is one source of calls.
 type Organisation struct {
+	// Name is the organisation that the calls are counted for.
 	Name string `json:"name"`
 	// Host and Path go into each request.
 	Host   string  `json:"host"`
--- a/plugin/peer/setup.go
+++ b/plugin/peer/setup.go
@@ -24,8 +24,11 @@
 
 // Member is a control instance that processes of the fleet connect to.
 type Member struct {
-	Name             string `json:"name"`
-	Address          string `json:"address"`
+	// Name is the instance name of the control instance.
+	Name string `json:"name"`
+	// Address is IP:port of its listener for processes of the fleet.
+	Address string `json:"address"`
+	// AvailabilityZone is its zone; nodes prefer instances of their own.
 	AvailabilityZone string `json:"availability_zone"`
 }
 
--- a/plugin/standin/setup.go
+++ b/plugin/standin/setup.go
@@ -89,6 +89,7 @@
 
 // FaultShare is a fault and the percentage of calls that get it.
 type FaultShare struct {
+	// Percent is the share of requests that get the fault.
 	Percent float64 `json:"percent"`
 	// Fault is the text of a fault, as in the header X-Call-Fault.
 	Fault string `json:"fault"`
--- /dev/null
+++ b/role/settings_test.go
@@ -0,0 +1,137 @@
+package role
+
+import (
+	"encoding"
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/celeryyard/celeryyard/kernel"
+)
+
+var update = flag.Bool("update", false, "write docs/settings.md instead of comparing it")
+
+const settingsPage = "../docs/settings.md"
+
+// Guards against a settings reference that differs from the code.
+func TestSettingsReferenceMatchesCode(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Settings reference\n\nWritten from the code by `go test ./role -run SettingsReference -update`; a test compares it.\n" +
+		"Each program takes one file, JSON with comments, with a section for each of its plug-ins.\n")
+	in := kernel.DefaultInstance()
+	section(t, &b, "instance", "../kernel", reflect.ValueOf(in))
+	for _, name := range kernel.Registered() {
+		if s := kernel.DefaultSettings(name); s != nil {
+			section(t, &b, name, filepath.Join("../plugin", name), reflect.ValueOf(s).Elem())
+		}
+	}
+	if *update {
+		if err := os.WriteFile(settingsPage, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	page, err := os.ReadFile(settingsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(page) != b.String() {
+		t.Fatal("docs/settings.md differs from the code; run: go test ./role -run SettingsReference -update")
+	}
+}
+
+func section(t *testing.T, b *strings.Builder, name, dir string, v reflect.Value) {
+	t.Helper()
+	fmt.Fprintf(b, "\n## %s\n\n| field | default | meaning |\n|---|---|---|\n", name)
+	fields(t, b, "", v, comments(t, dir))
+}
+
+// fields writes a row for each field; structs and lists of structs are descended into.
+func fields(t *testing.T, b *strings.Builder, prefix string, v reflect.Value, doc map[string]string) {
+	t.Helper()
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		tag, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if tag == "" || tag == "-" {
+			continue
+		}
+		what := doc[v.Type().Name()+"."+f.Name]
+		if what == "" {
+			t.Errorf("field %s%s of type %s has no comment", prefix, tag, v.Type())
+		}
+		fmt.Fprintf(b, "| `%s%s` | %s | %s |\n", prefix, tag, show(v.Field(i)), what)
+		switch inner := v.Field(i); {
+		case inner.Kind() == reflect.Struct:
+			fields(t, b, prefix+tag+"/", inner, doc)
+		case inner.Kind() == reflect.Slice && inner.Type().Elem().Kind() == reflect.Struct:
+			fields(t, b, prefix+tag+"/N/", reflect.Zero(inner.Type().Elem()), doc)
+		}
+	}
+}
+
+func show(v reflect.Value) string {
+	if v.Kind() == reflect.Struct || v.Kind() == reflect.Slice || v.Kind() == reflect.Map || v.IsZero() {
+		return ""
+	}
+	if m, ok := v.Interface().(encoding.TextMarshaler); ok {
+		text, err := m.MarshalText()
+		if err == nil {
+			return "`" + string(text) + "`"
+		}
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
+
+// comments returns the comment of each struct field of a package by "Type.Field".
+// A comment counts for all fields up to the next comment or blank line.
+func comments(t *testing.T, dir string) map[string]string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc := map[string]string{}
+	for _, name := range files {
+		set := token.NewFileSet()
+		f, err := parser.ParseFile(set, name, nil, parser.ParseComments)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			spec, ok := n.(*ast.TypeSpec)
+			if !ok {
+				return true
+			}
+			if s, ok := spec.Type.(*ast.StructType); ok {
+				structComments(set, spec.Name.Name, s, doc)
+			}
+			return true
+		})
+	}
+	return doc
+}
+
+func structComments(set *token.FileSet, name string, s *ast.StructType, doc map[string]string) {
+	last, line := "", 0
+	for _, f := range s.Fields.List {
+		text := f.Doc.Text()
+		if text == "" {
+			text = f.Comment.Text()
+		}
+		at := set.Position(f.Pos()).Line
+		if text == "" && at == line+1 {
+			text = last
+		}
+		last, line = text, set.Position(f.End()).Line
+		for _, id := range f.Names {
+			doc[name+"."+id.Name] = strings.ReplaceAll(strings.Join(strings.Fields(text), " "), "|", "\\|")
+		}
+	}
+}
