--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -37,6 +37,8 @@
 	Version resource.Version `json:"version"`
 	// Digests holds the digest of each endpoint set that the node holds.
 	Digests map[string]uint64 `json:"digests,omitempty"`
+	// Probe asks for the reply only and opens no session.
+	Probe bool `json:"probe,omitzero"`
 }
 
 // HelloReply answers Hello. Updates follow once the node is admitted.
@@ -44,6 +46,8 @@
 	Instance string `json:"instance"`
 	// Waiting says why the node is not admitted yet; empty when it is.
 	Waiting string `json:"waiting,omitempty"`
+	// Isolated tells that the instance does not reach the quorum.
+	Isolated bool `json:"isolated,omitzero"`
 }
 
 // Update is one step of a node's state. The next one follows only after its Ack.
@@ -86,6 +90,13 @@
 	Version resource.Version `json:"version,omitzero"`
 }
 
+// Pong answers Ping.
+type Pong struct {
+	// Isolated tells that the instance does not reach the quorum, so that its nodes
+	// look for one that does.
+	Isolated bool `json:"isolated,omitzero"`
+}
+
 // Record is the entry of one node in the endpoint table.
 type Record struct {
 	Endpoint resource.Endpoint `json:"e"`
--- a/core/peerapi/sets.go
+++ b/core/peerapi/sets.go
@@ -153,6 +153,39 @@
 	return out, nil
 }
 
+// Resolve turns the message into an update of the held snapshot, which is nil
+// before the first one: changes of endpoint sets become whole sets.
+func (m *Update) Resolve(held *resource.Snapshot) (resource.Update, error) {
+	u := resource.Update{Delta: m.Delta, Sets: m.Sets, Drop: m.Drop}
+	if held == nil && m.Delta == nil {
+		return u, errors.Wrap(ErrBase, "no snapshot is held")
+	}
+	for i := range m.Changes {
+		var base *resource.EndpointSet
+		if held != nil {
+			base = held.Sets[m.Changes[i].Service]
+		}
+		set, err := m.Changes[i].Apply(base)
+		if err != nil {
+			return u, err
+		}
+		u.Sets = append(u.Sets, set)
+	}
+	return u, nil
+}
+
+// Digests returns the version and the digests of the sets of a snapshot.
+func Digests(held *resource.Snapshot) (resource.Version, map[string]uint64) {
+	if held == nil {
+		return 0, nil
+	}
+	digests := make(map[string]uint64, len(held.Sets))
+	for service, set := range held.Sets {
+		digests[service] = Digest(set)
+	}
+	return held.Version, digests
+}
+
 func (d *Edit) apply(e resource.Endpoint, service string) resource.Endpoint {
 	e.Node, e.Service = d.Node, service
 	if d.Incarnation != 0 {
--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -150,8 +150,8 @@
 		return
 	}
 	now := d.c.Clock.Now()
-	d.trace.Record("discovery", "delta", now, m.Instance, m)
 	d.mu.Lock()
+	d.trace.Record("discovery", "delta", now, m.Instance, m)
 	complete := d.table.delta(m, now)
 	d.mu.Unlock()
 	if !complete {
@@ -167,8 +167,8 @@
 		return
 	}
 	now := d.c.Clock.Now()
-	d.trace.Record("discovery", "sync", now, m.Instance, m)
 	d.mu.Lock()
+	d.trace.Record("discovery", "sync", now, m.Instance, m)
 	d.table.sync(m, now)
 	d.mu.Unlock()
 	d.received(r, m, &peerapi.RecordsReply{})
--- a/plugin/discovery/owner.go
+++ b/plugin/discovery/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/celeryyard/celeryyard/core/peerapi"
+	"github.com/celeryyard/celeryyard/core/resource"
 )
 
 // delta merges changed records of another instance. It returns false when
@@ -37,8 +38,9 @@
 	o.epoch, o.seq, o.heard, o.synced = m.Epoch, m.Seq, now, true
 	named := map[string]bool{}
 	for _, r := range m.Records {
-		named[r.Endpoint.Node] = true
 		t.merge(r, now, time.Time{})
+		held := t.records[r.Endpoint.Node]
+		named[r.Endpoint.Node] = held.Record == r && !r.Lost && r.Endpoint.State != resource.StateGone
 	}
 	for _, r := range m.Others {
 		since := time.Time{}
@@ -48,10 +50,11 @@
 		t.merge(r, now, since)
 	}
 	for node, r := range t.records {
-		if r.Owner != m.Instance || !r.alive() {
-			continue
-		}
-		if !named[node] && r.since.IsZero() {
+		switch {
+		case r.Owner != m.Instance:
+		case named[node]:
+			t.vouch(r)
+		case r.alive() && r.since.IsZero():
 			r.since = now
 			t.dirty[r.Endpoint.Service] = true
 		}
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -58,6 +58,7 @@
 	gen, shown uint64
 	waiters    []*waiter
 	settled    bool
+	swept      time.Time
 
 	announced *metrics.Counter
 	losses    *metrics.Counter
@@ -110,6 +111,9 @@
 			d.connect(m)
 		}
 	}
+	d.mu.Lock()
+	d.swept = d.c.Clock.Now()
+	d.mu.Unlock()
 	d.c.Every("discovery/sweep", d.s.Heartbeat.D()/2, d.sweep)
 	d.c.After(d.s.SettleTimeout.D(), flushKey, d.flush)
 	d.schedule(true)
@@ -122,9 +126,9 @@
 // Announce implements api.Discovery.
 func (d *Discovery) Announce(e resource.Endpoint) (known uint64, ok bool) {
 	now := d.c.Clock.Now()
-	d.trace.Record("discovery", "announce", now, e.Node, e)
 	d.announced.Inc()
 	d.mu.Lock()
+	d.trace.Record("discovery", "announce", now, e.Node, e)
 	known, ok = d.table.announce(e, now)
 	d.mu.Unlock()
 	if ok {
@@ -136,9 +140,9 @@
 // Detach implements api.Discovery.
 func (d *Discovery) Detach(node string, incarnation uint64) {
 	now := d.c.Clock.Now()
-	d.trace.Record("discovery", "detach", now, node, incarnation)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.trace.Record("discovery", "detach", now, node, incarnation)
 	d.table.detach(node, incarnation, now)
 }
 
@@ -217,8 +221,12 @@
 // sweep ends leases and notices silent instances.
 func (d *Discovery) sweep() {
 	now := d.c.Clock.Now()
-	d.trace.Record("discovery", "sweep", now, "", nil)
 	d.mu.Lock()
+	if late := now.Sub(d.swept) - d.s.Heartbeat.D(); late > 0 {
+		d.table.pause(late)
+	}
+	d.swept = now
+	d.trace.Record("discovery", "sweep", now, "", d.s)
 	lost := d.table.expire(now, d.s.Grace.D(), d.s.TombstoneTTL.D())
 	silent := d.table.silence(now, d.s.PeerTimeout.D())
 	dirty := len(d.table.dirty) > 0
--- a/plugin/discovery/table.go
+++ b/plugin/discovery/table.go
@@ -15,9 +15,14 @@
 	since time.Time
 	// ended is when the record was withdrawn or lost; zero while it is alive.
 	ended time.Time
+	// doubted tells that this instance alone takes the lease for lost. It is not
+	// passed on, and the owner's word ends it.
+	doubted bool
 }
 
-func (r *record) alive() bool { return !r.Lost && r.Endpoint.State != resource.StateGone }
+func (r *record) lost() bool { return r.Lost || r.doubted }
+
+func (r *record) alive() bool { return !r.lost() && r.Endpoint.State != resource.StateGone }
 
 // owner is what is known of another control instance.
 type owner struct {
@@ -88,7 +93,7 @@
 	}
 	node, service := r.Endpoint.Node, r.Endpoint.Service
 	if old := t.records[node]; old != nil {
-		delete(t.services[old.Endpoint.Service], node)
+		t.unlink(old)
 		if !equalView(old, n) {
 			t.dirty[old.Endpoint.Service] = true
 		}
@@ -104,8 +109,29 @@
 	}
 }
 
+func (t *table) unlink(r *record) {
+	nodes := t.services[r.Endpoint.Service]
+	delete(nodes, r.Endpoint.Node)
+	if len(nodes) == 0 {
+		delete(t.services, r.Endpoint.Service)
+	}
+}
+
+// pause moves all timers on by the time in which this process stood still:
+// messages that renew leases may be waiting to be read.
+func (t *table) pause(d time.Duration) {
+	for _, r := range t.records {
+		if !r.since.IsZero() {
+			r.since = r.since.Add(d)
+		}
+	}
+	for _, o := range t.owners {
+		o.heard = o.heard.Add(d)
+	}
+}
+
 func equalView(a, b *record) bool {
-	return a.Lost == b.Lost && a.Owner == b.Owner && peerapi.Visible(a.Endpoint) == peerapi.Visible(b.Endpoint)
+	return a.lost() == b.lost() && a.Owner == b.Owner && peerapi.Visible(a.Endpoint) == peerapi.Visible(b.Endpoint)
 }
 
 // detach starts the loss of the lease of an attached node. Records of another
@@ -128,24 +154,43 @@
 			limit *= 2
 		}
 		if r.alive() && !r.since.IsZero() && now.Sub(r.since) >= limit {
-			n := r.Record
-			n.Lost = true
-			t.put(n, now, r.since)
+			t.lose(r, now)
 			lost = append(lost, node)
 			continue
 		}
 		if !r.alive() && now.Sub(r.ended) >= tombstones && !t.kept(r) {
 			delete(t.records, node)
-			delete(t.services[r.Endpoint.Service], node)
+			t.unlink(r)
 		}
 	}
 	sort.Strings(lost)
 	return lost
 }
 
+// lose ends a lease. Only the owner's loss is passed on to other instances.
+func (t *table) lose(r *record, now time.Time) {
+	if r.Owner != t.self {
+		r.doubted, r.ended = true, now
+		t.dirty[r.Endpoint.Service] = true
+		return
+	}
+	n := r.Record
+	n.Lost = true
+	t.put(n, now, r.since)
+}
+
+// vouch ends doubts about a record that its owner names as alive.
+func (t *table) vouch(r *record) {
+	if r.since.IsZero() && !r.doubted {
+		return
+	}
+	r.since, r.ended, r.doubted = time.Time{}, time.Time{}, false
+	t.dirty[r.Endpoint.Service] = true
+}
+
 // kept reports whether a lost record is still visible.
 func (t *table) kept(r *record) bool {
-	return r.Lost && t.keepLost(r.Endpoint.Service)
+	return r.lost() && t.keepLost(r.Endpoint.Service)
 }
 
 // keepLost is the rule against emptying a set when many leases are lost at
@@ -155,7 +200,7 @@
 	lost, alive := 0, 0
 	for _, r := range t.services[service] {
 		switch {
-		case r.Lost:
+		case r.lost():
 			lost++
 		case r.alive() && r.Endpoint.State != resource.StateDraining:
 			alive++
@@ -169,11 +214,11 @@
 	keep := t.keepLost(service)
 	out := resource.EndpointSet{Service: service, Endpoints: []resource.Endpoint{}}
 	for _, r := range t.services[service] {
-		if r.Endpoint.State == resource.StateGone || r.Lost && !keep {
+		if r.Endpoint.State == resource.StateGone || r.lost() && !keep {
 			continue
 		}
 		e := peerapi.Visible(r.Endpoint)
-		e.Stale = r.Lost || t.stale(r)
+		e.Stale = r.lost() || t.stale(r)
 		out.Endpoints = append(out.Endpoints, e)
 	}
 	sort.Slice(out.Endpoints, func(i, j int) bool { return out.Endpoints[i].Node < out.Endpoints[j].Node })
--- a/plugin/distribution/deliver_test.go
+++ b/plugin/distribution/deliver_test.go
@@ -1,4 +1,4 @@
-package distribution_test
+package distribution
 
 import (
 	"testing"
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -1,4 +1,4 @@
-package distribution_test
+package distribution
 
 import (
 	"context"
@@ -15,7 +15,6 @@
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
 	"github.com/celeryyard/celeryyard/plugin/announce"
 	"github.com/celeryyard/celeryyard/plugin/discovery"
-	"github.com/celeryyard/celeryyard/plugin/distribution"
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/view"
 
@@ -27,11 +26,38 @@
 	kernel.Register(kernel.Registration{Name: "quorum", New: func(c *kernel.Context) (kernel.Plugin, error) {
 		return &fakeLog{c: c}, nil
 	}})
+	kernel.Register(kernel.Registration{Name: "probe", Needs: []string{"view"}, New: newProbe})
 	kernel.Register(kernel.Registration{Name: "catalog", New: func(c *kernel.Context) (kernel.Plugin, error) {
 		return &fakeCatalog{c: c, now: map[resource.Key]resource.Resource{}, gone: map[resource.Key]gone{}}, nil
 	}})
 }
 
+// probe notes when a node begins to serve each version.
+type probe struct {
+	noLife
+	mu     sync.Mutex
+	served map[resource.Version]time.Time
+}
+
+func newProbe(c *kernel.Context) (kernel.Plugin, error) {
+	p := &probe{served: map[resource.Version]time.Time{}}
+	kernel.Use[api.View](c, "view").Watch(func(s *resource.Snapshot) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if _, ok := p.served[s.Version]; !ok {
+			p.served[s.Version] = time.Now()
+		}
+	})
+	return p, nil
+}
+
+func (p *probe) at(v resource.Version) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.served[v]
+	return t, ok
+}
+
 type noLife struct{}
 
 func (noLife) Start(context.Context) error { return nil }
@@ -204,7 +230,7 @@
 	catalog      *fakeCatalog
 	log          *fakeLog
 	discovery    *discovery.Discovery
-	distribution *distribution.Distribution
+	distribution *Distribution
 	stop         func()
 }
 
@@ -215,7 +241,7 @@
 	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "distribution"}, text, false)
 	return &control{
 		Kernel: k, catalog: k.Service("catalog").(*fakeCatalog), log: k.Service("quorum").(*fakeLog),
-		discovery: k.Service("discovery").(*discovery.Discovery), distribution: k.Service("distribution").(*distribution.Distribution), stop: stop,
+		discovery: k.Service("discovery").(*discovery.Discovery), distribution: k.Service("distribution").(*Distribution), stop: stop,
 	}
 }
 
@@ -226,6 +252,7 @@
 	view     *view.View
 	announce *announce.Announce
 	peer     *peer.Peer
+	probe    *probe
 	stop     func()
 }
 
@@ -238,10 +265,10 @@
 	}
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "region": "cantabrico", "fleet_key_file": %q, "workers": 1, "queue_jobs": 256, "seed": %d},
 		"peer": {"instances": %s}, "session": {"services": %s%s}%s}`, name, zone, f.key, 100+f.nodes, f.instances(), services, extra, up)
-	k, stop := kerneltest.Start(f.t, []string{"peer", "view", "session", "announce"}, text, false)
+	k, stop := kerneltest.Start(f.t, []string{"peer", "view", "probe", "session", "announce"}, text, false)
 	return &node{
 		Kernel: k, name: name, view: k.Service("view").(*view.View), announce: k.Service("announce").(*announce.Announce),
-		peer: k.Service("peer").(*peer.Peer), stop: stop,
+		peer: k.Service("peer").(*peer.Peer), probe: k.Service("probe").(*probe), stop: stop,
 	}
 }
 
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -22,13 +22,17 @@
 		return
 	}
 	now := d.c.Clock.Now()
+	reply := &peerapi.HelloReply{Instance: d.c.Instance.Name, Isolated: d.isolated(now)}
+	if h.Probe {
+		r.Reply(reply)
+		return
+	}
 	d.trace.Record("distribution", "hello", now, h.Node, h)
 	e := &entry{session: newSession(h), conn: c}
 	e.group = groupOf(e.session)
 	e.heard.Store(now.UnixNano())
 	start := d.attach(e, h, now)
 	d.c.Log.Log(evAttached).Str("node", h.Node).Uint("version", uint64(h.Version)).Send()
-	reply := &peerapi.HelloReply{Instance: d.c.Instance.Name}
 	if h.Version == 0 {
 		reply.Waiting = "the instance confirms that its configuration is current"
 	}
@@ -38,6 +42,11 @@
 	}
 }
 
+// isolated reports whether this instance has lost the quorum.
+func (d *Distribution) isolated(now time.Time) bool {
+	return now.Sub(d.log.Status().Confirmed) > d.s.IsolatedAfter.D()
+}
+
 // attach enters a session into the table and reports whether a linearizable
 // read has to begin for it.
 func (d *Distribution) attach(e *entry, h *peerapi.Hello, now time.Time) (start bool) {
@@ -159,7 +168,7 @@
 	if e.zone == d.c.Instance.AvailabilityZone {
 		d.reported(p.Version)
 	}
-	r.Reply(&peerapi.Empty{})
+	r.Reply(&peerapi.Pong{Isolated: d.isolated(d.c.Clock.Now())})
 }
 
 // onAnnounce takes the record of the node's upstream. A withdrawal and the start
--- /dev/null
+++ b/plugin/distribution/measure_test.go
@@ -0,0 +1,171 @@
+package distribution
+
+import (
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/celeryyard/celeryyard/core/peerapi"
+	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+)
+
+// services and their endpoints are those of Tacto Norte in the current deployment.
+var services = []string{"catalogo", "taller"}
+
+// sized starts one instance with teams in its catalog and n nodes with upstreams.
+func sized(b testing.TB, n int, extra string) (*control, []*node) {
+	f := newFleet(b, "cant-a")
+	c := f.control(0, extra)
+	for i := range 40 {
+		c.catalog.put(fmt.Sprintf("team-%d", i), services[i%2], 1000)
+	}
+	nodes := make([]*node, n)
+	for i := range nodes {
+		nodes[i] = f.node(fmt.Sprintf("node-%d", i), "cant-a", services[i%2], all, "")
+	}
+	settle(b, c, nodes)
+	return c, nodes
+}
+
+// settle waits until every node holds the newest version and all endpoints.
+func settle(b testing.TB, c *control, nodes []*node) {
+	kerneltest.Wait(b, 30*time.Second, "all nodes hold everything", func() bool {
+		for _, n := range nodes {
+			if n.version() != c.catalog.Version() || n.endpoints(services[0])+n.endpoints(services[1]) != len(nodes) {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(200 * time.Millisecond) // the last acknowledgements
+}
+
+func traffic(nodes []*node) float64 {
+	sum := uint64(0)
+	for _, n := range nodes {
+		sent, received := n.peer.Traffic()
+		sum += sent + received
+	}
+	return float64(sum)
+}
+
+// compressed is the size of v as JSON under zstd without a dictionary of the
+// fleet, which is the least that a message with this content costs by itself.
+func compressed(b testing.TB, v any) float64 {
+	text, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	e, err := zstd.NewWriter(nil, zstd.WithEncoderCRC(false), zstd.WithSingleSegment(true))
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(e.EncodeAll(text, nil)))
+}
+
+// BenchmarkConvergence measures the time from a change in the catalog until the
+// last node serves it, and the bytes of a change for each node.
+func BenchmarkConvergence(b *testing.B) {
+	for _, n := range []int{60, 200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, nodes := sized(b, n, "")
+			const changes = 100
+			var took []float64
+			before := traffic(nodes)
+			for i := range changes {
+				began := time.Now()
+				v := c.catalog.put("team-1", services[1], 2000+i)
+				last := began
+				kerneltest.Wait(b, within, "all nodes serve the change", func() bool {
+					for _, n := range nodes {
+						at, ok := n.probe.at(v)
+						if !ok {
+							return false
+						}
+						if at.After(last) {
+							last = at
+						}
+					}
+					return true
+				})
+				took = append(took, last.Sub(began).Seconds()*1000)
+			}
+			time.Sleep(200 * time.Millisecond)
+			perNode := (traffic(nodes) - before) / float64(n*changes)
+			sort.Float64s(took)
+			least := compressed(b, resource.Delta{From: 40, To: 41, Upserts: c.catalog.Delta(c.catalog.Version()-1, nil).Upserts})
+			b.ReportMetric(took[len(took)/2], "p50-ms")
+			b.ReportMetric(took[len(took)*99/100], "p99-ms")
+			b.ReportMetric(perNode, "B/change/node")
+			b.ReportMetric(least, "least-B")
+			b.ReportMetric(perNode/least, "ratio")
+		})
+	}
+}
+
+// BenchmarkEndpointEvent measures the bytes for each node when the state of one
+// endpoint changes.
+func BenchmarkEndpointEvent(b *testing.B) {
+	c, nodes := sized(b, 60, "")
+	before := traffic(nodes)
+	const events = 20
+	e := nodes[0].announce.Endpoint()
+	for i := range events {
+		e.Revision += 10
+		e.State = []resource.EndpointState{resource.StateStarting, resource.StateReady}[i%2]
+		e.ReadySince += 1000
+		c.discovery.Announce(e)
+		time.Sleep(60 * time.Millisecond)
+	}
+	perNode := (traffic(nodes) - before) / float64(len(nodes)*events)
+	old := e
+	old.State, old.ReadySince = resource.StateStarting, old.ReadySince-1000
+	change := peerapi.Diff(&resource.EndpointSet{Service: e.Service, Endpoints: []resource.Endpoint{old}}, &resource.EndpointSet{Service: e.Service, Endpoints: []resource.Endpoint{e}})
+	least := compressed(b, change)
+	b.ReportMetric(perNode, "B/event/node")
+	b.ReportMetric(least, "least-B")
+	b.ReportMetric(compressed(b, e), "record-B")
+	b.ReportMetric(perNode/least, "ratio")
+}
+
+// BenchmarkIdle measures the traffic of a node without any change.
+func BenchmarkIdle(b *testing.B) {
+	_, nodes := sized(b, 20, "")
+	before := traffic(nodes)
+	const seconds = 10
+	time.Sleep(seconds * time.Second)
+	b.ReportMetric((traffic(nodes)-before)/float64(seconds*len(nodes)), "B/s/node")
+}
+
+// BenchmarkResume measures the bytes of a session that is resumed after a
+// number of missed changes.
+func BenchmarkResume(b *testing.B) {
+	for _, missed := range []int{0, 10, 100, 1000} {
+		b.Run(fmt.Sprint(missed), func(b *testing.B) {
+			f := newFleet(b, "cant-a", "cant-b")
+			x, y := f.control(0, ""), f.control(1, "")
+			for i := range 400 {
+				x.catalog.put(fmt.Sprintf("team-%d", i), services[i%2], 1000)
+				y.catalog.put(fmt.Sprintf("team-%d", i), services[i%2], 1000)
+			}
+			n := f.node("node-0", "cant-a", services[0], all, "")
+			kerneltest.Wait(b, within, "node holds all", func() bool { return n.version() == 400 && n.endpoints(services[0]) == 1 })
+			for i := range missed {
+				y.catalog.put(fmt.Sprintf("team-%d", i%400), services[i%400%2], 2000+i)
+			}
+			time.Sleep(300 * time.Millisecond)
+			before := traffic([]*node{n})
+			x.stop()
+			kerneltest.Wait(b, within, "node is resumed", func() bool {
+				return n.version() == y.catalog.Version() && y.discovery.Set(services[0]).Endpoints != nil && len(y.discovery.Set(services[0]).Endpoints) == 1 && !y.discovery.Set(services[0]).Endpoints[0].Stale
+			})
+			time.Sleep(300 * time.Millisecond)
+			b.ReportMetric(traffic([]*node{n})-before, "B")
+		})
+	}
+}
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -88,6 +88,7 @@
 	encoded   map[string]*encoded
 	lastID    uint64
 	kicked    bool
+	swept     time.Time
 	// released versions may be sent; releasing is being synced.
 	released, releasing resource.Version
 
@@ -133,6 +134,7 @@
 	d.mu.Lock()
 	d.released, d.releasing = synced, synced
 	d.admission.durable = synced > 0
+	d.swept = d.c.Clock.Now()
 	d.mu.Unlock()
 	if v := d.catalog.Version(); v > synced {
 		d.release(v)
@@ -214,8 +216,19 @@
 func (d *Distribution) sweep() {
 	now := d.c.Clock.Now()
 	var silent, unacked []*entry
+	refused := false
 	d.mu.Lock()
+	late := now.Sub(d.swept) > d.s.NodeTimeout.D()/2
+	d.swept = now
+	if late {
+		d.mu.Unlock()
+		return // this process stood still: messages of the nodes may be waiting to be read
+	}
 	for _, e := range d.sessions {
+		if e.rejects > 0 && now.Sub(e.sent) > d.s.AckTimeout.D() {
+			e.retry()
+			refused = true
+		}
 		switch {
 		case now.UnixNano()-e.heard.Load() > int64(d.s.NodeTimeout):
 			silent = append(silent, e)
@@ -232,6 +245,9 @@
 		d.c.Log.Log(evUnacked).Str("node", e.node).Send()
 		e.conn.Close()
 	}
+	if refused {
+		d.kick()
+	}
 }
 
 func groupOf(s *session) string {
--- a/plugin/distribution/push.go
+++ b/plugin/distribution/push.go
@@ -183,13 +183,9 @@
 
 // offer is called with mu held.
 func (d *Distribution) offer(e *entry, delta *resource.Delta) offer {
-	o := offer{delta: delta, settled: d.settled, needed: e.services, exact: true, set: d.set}
+	o := offer{delta: delta, settled: d.settled, set: d.set}
 	if e.services == nil {
-		to := e.held
-		if delta != nil {
-			to = delta.To
-		}
-		o.needed, o.exact = d.index.services(), d.index.version == to
+		o.services, o.version = d.index.services(), d.index.version
 	}
 	return o
 }
--- a/plugin/distribution/session.go
+++ b/plugin/distribution/session.go
@@ -7,14 +7,26 @@
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
+// maxRejects is the number of rejections in a row after which whole endpoint
+// sets are not repeated at once.
+const maxRejects = 2
+
 // flight is the one unacknowledged update of a session.
 type flight struct {
 	id   uint64
 	to   resource.Version
+	full bool
 	sets map[string]uint64
 	drop []string
 }
 
+// heldSet is what is known of a set on the node.
+type heldSet struct {
+	digest uint64
+	// doubtful makes the next update carry the whole set.
+	doubtful bool
+}
+
 // session decides what a node is sent. Callers serialise its methods.
 type session struct {
 	node, zone  string
@@ -23,22 +35,27 @@
 	services []string
 	// held is the version in force on the node, sets the digests of its sets.
 	held resource.Version
-	sets map[string]uint64
+	sets map[string]heldSet
 	// min is the lowest version that the node may be sent.
 	min      resource.Version
 	admitted bool
 	// full makes the next update a full set.
-	full   bool
-	flight *flight
+	full bool
+	// refused is the version whose full set the node rejected. It is not sent again
+	// before a newer one is there or retry is called.
+	refused resource.Version
+	// rejects counts rejections in a row.
+	rejects int
+	flight  *flight
 }
 
 func newSession(h *peerapi.Hello) *session {
-	s := &session{node: h.Node, zone: h.AvailabilityZone, incarnation: h.Incarnation, held: h.Version, min: h.Version, sets: map[string]uint64{}}
+	s := &session{node: h.Node, zone: h.AvailabilityZone, incarnation: h.Incarnation, held: h.Version, min: h.Version, sets: map[string]heldSet{}}
 	if h.Version == 0 {
 		s.full = true
 	} else {
 		for service, digest := range h.Digests {
-			s.sets[service] = digest
+			s.sets[service] = heldSet{digest: digest}
 		}
 	}
 	all := false
@@ -64,10 +81,10 @@
 type offer struct {
 	// delta leads from session.from to its To; nil when there is none.
 	delta *resource.Delta
-	// needed names the services whose sets the node needs without those that
-	// clusters of the delta refer to; exact tells that all others can be dropped.
-	needed []string
-	exact  bool
+	// services names those that the clusters of version refer to. It is not read
+	// for nodes that list their services.
+	services []string
+	version  resource.Version
 	// set returns the state of a set; it is never nil.
 	set func(service string) *setState
 	// settled is false while the endpoint table is incomplete.
@@ -82,19 +99,21 @@
 	}
 	u := &peerapi.Update{}
 	f := &flight{to: s.held, sets: map[string]uint64{}}
-	if d := o.delta; d != nil && d.To >= s.min && (d.To > s.held || d.From == 0 && d.To == s.held && s.full) {
-		if d.From == 0 || d.From == s.held {
-			u.Delta, f.to = d, d.To
-		}
+	if d := o.delta; d != nil && s.takes(d) {
+		u.Delta, f.to, f.full = d, d.To, d.From == 0
+	}
+	if u.Delta == nil && s.held == 0 {
+		return nil, nil // sets alone make no snapshot
 	}
-	if u.Delta == nil && (s.full || s.held == 0) {
-		return nil, nil // sets alone would not make a closed snapshot
+	if u.Delta == nil && s.rejects >= maxRejects {
+		return nil, nil
 	}
-	needed := s.required(u.Delta, o)
+	exact := s.services != nil || o.version == f.to
+	needed := s.required(u.Delta, o, exact)
 	for _, service := range sortedKeys(needed) {
 		s.planSet(service, o, u, f)
 	}
-	if o.exact && u.Delta != nil {
+	if exact && u.Delta != nil {
 		for _, service := range sortedKeys(s.sets) {
 			if !needed[service] {
 				u.Drop = append(u.Drop, service)
@@ -108,13 +127,33 @@
 	return u, f
 }
 
-// required returns the services whose sets the node needs after the delta.
-func (s *session) required(d *resource.Delta, o offer) map[string]bool {
+// takes reports whether the node may be sent the delta.
+func (s *session) takes(d *resource.Delta) bool {
+	switch {
+	case d.To == 0 || d.To < s.min || d.To < s.held || d.To == s.refused:
+		return false
+	case d.From == 0:
+		return s.full || d.To > s.held
+	}
+	return !s.full && d.From == s.held && d.To > s.held
+}
+
+// retry allows the refused version again.
+func (s *session) retry() { s.refused, s.rejects = 0, 0 }
+
+// required returns the services whose sets the node needs after the delta. When
+// the instance does not know exactly what the node's clusters refer to, it keeps
+// all sets that the node holds.
+func (s *session) required(d *resource.Delta, o offer, exact bool) map[string]bool {
 	needed := map[string]bool{}
-	for _, service := range o.needed {
+	list := s.services
+	if list == nil {
+		list = o.services
+	}
+	for _, service := range list {
 		needed[service] = true
 	}
-	if !o.exact {
+	if !exact {
 		for service := range s.sets {
 			needed[service] = true
 		}
@@ -132,18 +171,17 @@
 // planSet adds one set to the update when the node's one differs. While the
 // table is incomplete, a node keeps the set that it holds.
 func (s *session) planSet(service string, o offer, u *peerapi.Update, f *flight) {
-	digest, held := s.sets[service]
-	held = held && !s.full
-	if !o.settled && (held || u.Delta == nil) {
+	has, held := s.sets[service]
+	if !o.settled && held && !has.doubtful {
 		return
 	}
 	now := o.set(service)
-	if held && digest == now.digest {
+	if held && !has.doubtful && has.digest == now.digest {
 		return
 	}
 	f.sets[service] = now.digest
-	if held {
-		if c := now.change(digest); c != nil {
+	if held && !has.doubtful {
+		if c := now.change(has.digest); c != nil {
 			u.Changes = append(u.Changes, *c)
 			return
 		}
@@ -169,12 +207,12 @@
 	s.held = max(s.held, a.Version)
 	s.min = max(s.min, s.held)
 	if a.Rejected != "" || a.Version != f.to {
-		s.full = true
+		s.reject(f)
 		return true
 	}
-	s.full = false
+	s.full, s.rejects = s.full && !f.full, 0
 	for service, digest := range f.sets {
-		s.sets[service] = digest
+		s.sets[service] = heldSet{digest: digest}
 	}
 	for _, service := range f.drop {
 		delete(s.sets, service)
@@ -182,6 +220,20 @@
 	return true
 }
 
+// reject makes the next update a full set with whole endpoint sets. A full set
+// that was rejected is not repeated at once.
+func (s *session) reject(f *flight) {
+	s.full = true
+	s.rejects++
+	if f.full {
+		s.refused = f.to
+	}
+	for service, has := range s.sets {
+		has.doubtful = true
+		s.sets[service] = has
+	}
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	list := make([]string, 0, len(m))
 	for k := range m {
--- a/plugin/distribution/setup.go
+++ b/plugin/distribution/setup.go
@@ -15,7 +15,7 @@
 		Settings: func() any {
 			return &Settings{
 				NodeTimeout: ms(5000), BarrierTimeout: ms(1000), BarrierRetry: ms(500), AckTimeout: ms(10000),
-				ResumeRate: 500, ResumeBurst: 100, StatusTimeout: ms(2000),
+				ResumeRate: 500, ResumeBurst: 100, IsolatedAfter: ms(5000),
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newDistribution(c), nil },
@@ -35,14 +35,16 @@
 	// BarrierRetry is the pause after a failed one.
 	BarrierTimeout settings.Duration `json:"barrier_timeout"`
 	BarrierRetry   settings.Duration `json:"barrier_retry"`
-	// AckTimeout is how long a node may leave an update unacknowledged.
+	// AckTimeout is how long a node may leave an update unacknowledged, and the
+	// pause before a full set that it rejected is sent again.
 	AckTimeout settings.Duration `json:"ack_timeout"`
 	// ResumeRate and ResumeBurst pace the first updates of sessions, in sessions a
 	// second, so that a mass reconnect does not fill the worker pool.
 	ResumeRate  float64 `json:"resume_rate"`
 	ResumeBurst int     `json:"resume_burst"`
-	// StatusTimeout bounds an answer to distribution.status from this instance.
-	StatusTimeout settings.Duration `json:"status_timeout"`
+	// IsolatedAfter is the time without contact to the quorum after which nodes are
+	// told to look for another instance.
+	IsolatedAfter settings.Duration `json:"isolated_after"`
 }
 
 // Validate implements settings.Validator.
@@ -56,6 +58,8 @@
 		return settings.Invalid("barrier_retry", "must be positive")
 	case s.AckTimeout <= 0:
 		return settings.Invalid("ack_timeout", "must be positive")
+	case s.IsolatedAfter <= 0:
+		return settings.Invalid("isolated_after", "must be positive")
 	case s.ResumeRate <= 0:
 		return settings.Invalid("resume_rate", "must be positive")
 	case s.ResumeBurst < 1:
--- a/plugin/distribution/status.go
+++ b/plugin/distribution/status.go
@@ -18,10 +18,14 @@
 // Status implements api.Fleet.
 func (d *Distribution) Status(timeout time.Duration, done func([]api.InstanceStatus)) {
 	members := d.peer.Instances()
-	g := &gathering{out: make([]api.InstanceStatus, len(members)), left: len(members), done: done}
+	g := &gathering{out: make([]api.InstanceStatus, len(members)), left: len(members)}
+	g.done = func(list []api.InstanceStatus) {
+		if d.c.Next("distribution/status", func() { done(list) }) != nil {
+			d.c.After(0, "distribution/status", func() { done(list) })
+		}
+	}
 	if len(members) == 0 {
-		g.out = append(g.out, d.own())
-		done(g.out)
+		g.done([]api.InstanceStatus{d.own()})
 		return
 	}
 	for i, m := range members {
--- a/plugin/session/choose.go
+++ b/plugin/session/choose.go
@@ -3,9 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/celeryyard/celeryyard/core/peerapi"
-	"github.com/celeryyard/celeryyard/core/resource"
 )
 
 // instance is a control instance of the settings.
@@ -49,38 +46,28 @@
 	return list[attempt%len(list)]
 }
 
-// homePause draws the pause before an attempt to return to the own zone. The
-// spread keeps nodes from returning all at once.
-func homePause(mean time.Duration, rng *rand.Rand) time.Duration {
-	return mean/2 + time.Duration(rng.Int64N(int64(mean)+1))
-}
-
-// translate turns a message into an update of the snapshot: changes of
-// endpoint sets become whole sets. held is nil before the first snapshot.
-func translate(held *resource.Snapshot, m *peerapi.Update) (resource.Update, error) {
-	u := resource.Update{Delta: m.Delta, Sets: m.Sets, Drop: m.Drop}
-	for i := range m.Changes {
-		var base *resource.EndpointSet
-		if held != nil {
-			base = held.Sets[m.Changes[i].Service]
+// better returns the instances that suit better than the current one: those of
+// the own zone for a node attached elsewhere, all others for one whose instance
+// does not reach the quorum. home is the number of the own zone's instances,
+// which come first in list.
+func better(list []instance, home int, current string, isolated bool) []instance {
+	var out []instance
+	at := home
+	for i, m := range list {
+		if m.name == current {
+			at = i
 		}
-		set, err := m.Changes[i].Apply(base)
-		if err != nil {
-			return u, err
+	}
+	for i, m := range list {
+		if i != at && (isolated || i < home && at >= home) {
+			out = append(out, m)
 		}
-		u.Sets = append(u.Sets, set)
 	}
-	return u, nil
+	return out
 }
 
-// hello describes the state that the node holds.
-func hello(held *resource.Snapshot) (resource.Version, map[string]uint64) {
-	if held == nil {
-		return 0, nil
-	}
-	digests := make(map[string]uint64, len(held.Sets))
-	for service, set := range held.Sets {
-		digests[service] = peerapi.Digest(set)
-	}
-	return held.Version, digests
+// movePause draws the pause before an attempt to move. The spread keeps nodes
+// from moving all at once.
+func movePause(mean time.Duration, rng *rand.Rand) time.Duration {
+	return mean/2 + time.Duration(rng.Int64N(int64(mean)+1))
 }
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -1,8 +1,11 @@
 package session
 
 import (
+	"github.com/go-json-experiment/json"
+
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/rpc"
+	"github.com/celeryyard/celeryyard/plugin/peer"
 )
 
 // ping sends a heartbeat. A connection whose instance does not answer is closed,
@@ -21,86 +24,134 @@
 	if v := s.view.Current(); v != nil {
 		p.Version = v.Version
 	}
-	s.call(c, peerapi.NodePing, p, s.s.PingTimeout.D(), func(_ []byte, err error) {
+	s.call(c, peerapi.NodePing, p, s.s.PingTimeout.D(), func(raw []byte, err error) {
+		var r peerapi.Pong
+		if err == nil {
+			err = json.Unmarshal(raw, &r)
+		}
 		if err != nil {
 			s.c.Log.Log(evNoPing).Str("process", c.Peer).Err(err).Send()
 			c.Close()
+			return
 		}
+		s.ponged(c, r.Isolated)
 	})
 }
 
-// homeLater schedules the next attempt to return to the own zone.
-func (s *Session) homeLater() {
+// ponged notes whether the instance reaches the quorum. When it no longer does,
+// the node looks for another one soon, at a random time so that the nodes of the
+// instance do not move all at once.
+func (s *Session) ponged(c *rpc.Conn, isolated bool) {
 	s.mu.Lock()
-	home := s.home
+	news := s.conn == c && isolated && !s.isolated
+	if s.conn == c {
+		s.isolated = isolated
+	}
 	s.mu.Unlock()
-	if home == 0 {
-		return
+	if news {
+		s.c.After(movePause(s.s.PingInterval.D(), s.c.Rand()), "session/move", s.seek)
 	}
-	s.c.After(homePause(s.s.HomeRetry.D(), s.c.Rand()), "session/home", func() {
-		s.goHome()
-		s.homeLater()
+}
+
+// moveLater schedules the next check whether another instance suits better.
+func (s *Session) moveLater() {
+	s.c.After(movePause(s.s.HomeRetry.D(), s.c.Rand()), "session/move", func() {
+		s.seek()
+		s.moveLater()
 	})
 }
 
-// goHome connects to an instance of the own zone when the node is attached
-// elsewhere. The current session is kept until the new connection is made.
-func (s *Session) goHome() {
+// seek connects to a better instance: one of the own zone when the node is
+// attached elsewhere, any other when the current one does not reach the quorum.
+// The current session is kept until the other instance has answered.
+func (s *Session) seek() {
 	s.mu.Lock()
-	away := s.attached && !s.isHome(s.conn.Peer)
+	var targets []instance
+	if s.attached {
+		targets = better(s.list, s.home, s.conn.Peer, s.isolated)
+	}
 	old := s.candidate
 	s.candidate = nil
 	s.mu.Unlock()
 	if old != nil {
 		old.Close() // the attempt before did not succeed
 	}
-	if !away {
+	if len(targets) == 0 {
 		return
 	}
-	moved := false // guarded by mu
-	link := s.peer.ConnectAny(func(attempt int) string {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if !moved {
-			return s.list[attempt%s.home].address
-		}
-		return choose(s.list, attempt, s.last).address
-	}, func(c *rpc.Conn) {
-		s.mu.Lock()
-		first := !moved
-		moved = true
-		s.mu.Unlock()
-		s.up(c)
-		if first {
-			s.moved(c)
-		}
-	})
+	m := &move{s: s, targets: targets}
+	link := s.peer.ConnectAny(m.next, m.up)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if moved {
-		s.link = link // the connection was made before ConnectAny returned
-	} else {
+	m.link = link
+	if !m.moved {
 		s.candidate = link
+		return
 	}
+	s.link = link // the connection was made before ConnectAny returned
+}
+
+// move is an attempt to move the session to another instance. Its fields are
+// guarded by Session.mu.
+type move struct {
+	s       *Session
+	targets []instance
+	tried   int
+	moved   bool
+	link    *peer.Link
 }
 
-// moved makes the candidate the link of the session and closes the one before.
-func (s *Session) moved(c *rpc.Conn) {
+func (m *move) next(attempt int) string {
+	s := m.s
 	s.mu.Lock()
-	old := s.link
-	s.link, s.candidate = s.candidate, nil
-	s.mu.Unlock()
-	s.c.Log.Log(evHome).Str("process", c.Peer).Send()
-	if old != nil {
-		old.Close()
+	defer s.mu.Unlock()
+	if m.moved {
+		return choose(s.list, attempt, s.last).address
 	}
+	m.tried++
+	return m.targets[(m.tried-1)%len(m.targets)].address
 }
 
-func (s *Session) isHome(name string) bool {
-	for _, m := range s.list[:s.home] {
-		if m.name == name {
-			return true
+// up asks the instance whether it reaches the quorum before the session moves.
+func (m *move) up(c *rpc.Conn) {
+	s := m.s
+	s.mu.Lock()
+	moved := m.moved
+	s.mu.Unlock()
+	if moved {
+		s.up(c)
+		return
+	}
+	h := &peerapi.Hello{Node: s.c.Instance.Name, Services: s.s.Services, Probe: true}
+	s.call(c, peerapi.NodeHello, h, s.s.PingTimeout.D(), func(raw []byte, err error) {
+		var r peerapi.HelloReply
+		if err == nil {
+			err = json.Unmarshal(raw, &r)
 		}
+		if err != nil || r.Isolated {
+			c.Close() // the link tries the next target until the next check ends it
+			return
+		}
+		m.take(c)
+	})
+}
+
+// take makes the connection that of the session and closes the one before.
+func (m *move) take(c *rpc.Conn) {
+	s := m.s
+	s.mu.Lock()
+	if m.link != nil && s.candidate != m.link {
+		s.mu.Unlock()
+		c.Close() // the attempt was given up meanwhile
+		return
+	}
+	m.moved = true
+	old := s.link
+	s.link, s.candidate = m.link, nil
+	s.mu.Unlock()
+	s.c.Log.Log(evMoved).Str("process", c.Peer).Send()
+	s.up(c)
+	if old != nil {
+		old.Close()
 	}
-	return false
 }
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -27,7 +27,7 @@
 	evRefused  = event.Declare(601, zerolog.WarnLevel, "control instance refused the session")
 	evNoPing   = event.Declare(602, zerolog.WarnLevel, "control instance does not answer; looking for another")
 	evInvalid  = event.Declare(603, zerolog.WarnLevel, "message of a control instance refused")
-	evHome     = event.Declare(604, zerolog.InfoLevel, "returning to a control instance of the own zone")
+	evMoved    = event.Declare(604, zerolog.InfoLevel, "moving to a control instance that suits better")
 	evNoHome   = event.Declare(605, zerolog.ErrorLevel, "settings name no control instance")
 )
 
@@ -49,11 +49,13 @@
 	list []instance
 	home int
 	last string
-	// link makes the current connection; candidate one to the own zone while the
-	// node is attached elsewhere.
+	// link makes the current connection; candidate one to an instance that may
+	// suit better.
 	link, candidate *peer.Link
 	conn            *rpc.Conn
 	attached        bool
+	// isolated tells that the current instance does not reach the quorum.
+	isolated bool
 
 	sessions *metrics.Counter
 }
@@ -115,7 +117,7 @@
 	s.link = link
 	s.mu.Unlock()
 	s.c.Every("session/ping", s.s.PingInterval.D(), s.ping)
-	s.homeLater()
+	s.moveLater()
 	return nil
 }
 
@@ -131,9 +133,9 @@
 // up runs when a connection is made.
 func (s *Session) up(c *rpc.Conn) {
 	s.mu.Lock()
-	s.conn, s.attached, s.last = c, false, c.Peer
+	s.conn, s.attached, s.isolated, s.last = c, false, false, c.Peer
 	s.mu.Unlock()
-	version, digests := hello(s.view.Current())
+	version, digests := peerapi.Digests(s.view.Current())
 	h := &peerapi.Hello{
 		Node: s.c.Instance.Name, AvailabilityZone: s.c.Instance.AvailabilityZone, Incarnation: s.incarnation,
 		Services: s.s.Services, Version: version, Digests: digests,
@@ -195,7 +197,7 @@
 	}
 	s.trace.Record("session", "update", s.c.Clock.Now(), c.Peer, m)
 	held := s.view.Current()
-	u, err := translate(held, m)
+	u, err := m.Resolve(held)
 	if err == nil {
 		err = s.view.Apply(u)
 	}
