outbound, idempotency: changes cost what changed

Change: only changed sets are compared; claims are walked only when a set of their service changed; the rejection ends when the announcer drains no more. Conclusion: control work on nodes does not grow with other services.

--- a/plugin/idempotency/handover.go
+++ b/plugin/idempotency/handover.go
@@ -104,9 +104,12 @@
 	p.mu.Lock()
 	before := p.sets
 	p.sets = s.Sets
-	n := len(p.claims.records)
+	concerned := false
+	for name := range p.services {
+		concerned = concerned || len(p.claims.records) > 0 && before[name] != s.Sets[name]
+	}
 	p.mu.Unlock()
-	if n == 0 || !p.started.Load() {
+	if !concerned || !p.started.Load() {
 		return
 	}
 	job := func() {
--- a/plugin/idempotency/plugin.go
+++ b/plugin/idempotency/plugin.go
@@ -24,7 +24,7 @@
 )
 
 var (
-	evCopied   = event.Declare(850, zerolog.InfoLevel, "claims copied to their new holders")
+	evCopied   = event.Declare(850, zerolog.DebugLevel, "claims copied to their new holders")
 	evUncopied = event.Declare(851, zerolog.WarnLevel, "claims could not be copied to a new holder")
 	evUnsent   = event.Declare(852, zerolog.WarnLevel, "answer was not copied to the other holder of its claim")
 )
@@ -47,11 +47,13 @@
 	started atomic.Bool
 
 	// mu guards the table and the other holders of the own claims.
-	mu     *rank.Mutex
-	sets   map[string]*resource.EndpointSet
-	seq    uint64
-	claims *claims
-	other  map[string]httpcall.Target
+	mu   *rank.Mutex
+	sets map[string]*resource.EndpointSet
+	// services names those of which this node has held claims.
+	services map[string]bool
+	seq      uint64
+	claims   *claims
+	other    map[string]httpcall.Target
 }
 
 func newIdempotency(c *kernel.Context) *Idempotency {
@@ -59,8 +61,8 @@
 	p := &Idempotency{
 		c: c, s: s, view: kernel.Use[api.View](c, "view"), peer: kernel.Use[*peer.Peer](c, "peer"),
 		boot: rand.Uint64(), mu: rank.New(rank.Idempotency), claims: newClaims(s.Claims, s.AnswerBytes),
-		other: map[string]httpcall.Target{},
-		sent:  c.Metrics.NewCounter("celeryyard_claim_messages_total"), repeat: c.Metrics.NewCounter("celeryyard_claim_repeats_total"),
+		other: map[string]httpcall.Target{}, services: map[string]bool{},
+		sent: c.Metrics.NewCounter("celeryyard_claim_messages_total"), repeat: c.Metrics.NewCounter("celeryyard_claim_repeats_total"),
 	}
 	p.view.Watch(p.changed)
 	c.Metrics.NewGauge("celeryyard_claims", func() float64 {
@@ -129,6 +131,7 @@
 	p.mu.Lock()
 	p.seq++
 	rec.Seq = p.seq
+	p.services[serviceOf(c.ID)] = true
 	result, known := p.claims.claimOwn(rec, now, ttl)
 	if result == ResultNew && c.Backup.Address != "" {
 		p.other[c.ID] = c.Backup
@@ -249,6 +252,7 @@
 	r := &m.Records[0]
 	switch m.Op {
 	case opClaim:
+		p.services[serviceOf(r.ID)] = true
 		result, rec := p.claims.claim(r, now, time.Duration(r.TTL)*time.Millisecond)
 		if result != ResultKnown {
 			rec = nil
@@ -260,6 +264,7 @@
 	}
 	for i := range m.Records {
 		r := &m.Records[i]
+		p.services[serviceOf(r.ID)] = true
 		if !p.claims.merge(r, now, time.Duration(r.TTL)*time.Millisecond) {
 			return &reply{Result: ResultFull}
 		}
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -81,7 +81,7 @@
 		c.reject(httpcall.ReasonService)
 		return
 	}
-	p, leaving := c.in.enter(e.Slots, e.Incarnation)
+	p, leaving := c.in.enter(e.Slots, c.in.announce.Draining())
 	if leaving || p == nil {
 		c.reject(httpcall.ReasonLeaving)
 		return
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -65,8 +65,6 @@
 	pool    *pool.Pool
 	active  int
 	leaving bool
-	// left is the incarnation of the upstream that leaves; a later one is served.
-	left uint64
 	// idle is called when the last call in flight has ended.
 	idle func()
 }
@@ -149,10 +147,9 @@
 // those in flight and hands the claims over.
 func (in *Inbound) leave(done func()) {
 	in.c.Log.Log(evLeaving).Send()
-	incarnation := in.announce.Endpoint().Incarnation
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.leaving, in.left = true, incarnation
+	in.leaving = true
 	in.idle = func() {
 		in.c.Log.Log(evDrained).Send()
 		ctx, cancel := context.WithTimeout(context.Background(), in.s.HandoverTimeout.D())
@@ -166,18 +163,18 @@
 // checkIdle starts the end of the planned stop once no call is in flight. The
 // caller holds mu.
 func (in *Inbound) checkIdle() {
-	if in.leaving && in.active == 0 && in.idle != nil {
+	if in.active == 0 && in.idle != nil {
 		go in.idle() // waits for other nodes, so it is no job of the kernel's pool
 		in.idle = nil
 	}
 }
 
-// enter counts a call as in flight unless the upstream leaves. It returns the
-// pool whose workers are the slots; nil when the upstream has none.
-func (in *Inbound) enter(slots int, incarnation uint64) (p *pool.Pool, leaving bool) {
+// enter counts a call as in flight unless the upstream leaves; draining is false
+// again once a new upstream was announced. It returns the pool whose workers are the slots; nil when the upstream has none.
+func (in *Inbound) enter(slots int, draining bool) (p *pool.Pool, leaving bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.leaving && incarnation <= in.left {
+	if in.leaving && draining {
 		return nil, true
 	}
 	in.leaving = false
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -217,3 +217,30 @@
 	}
 	return 2*n <= len(s.list)
 }
+
+// leaving returns the addresses that no longer take calls. Its cost is that of
+// the changed sets, since most changes of a large fleet concern other services.
+func leaving(before, now map[string]*resource.EndpointSet) map[string]bool {
+	var out map[string]bool
+	for name, old := range before {
+		next := now[name]
+		if next == old {
+			continue
+		}
+		if out == nil {
+			out = map[string]bool{}
+		}
+		for i := range old.Endpoints {
+			out[old.Endpoints[i].Address] = true
+		}
+		if next == nil {
+			continue
+		}
+		for i := range next.Endpoints {
+			if s := next.Endpoints[i].State; s != resource.StateDraining && s != resource.StateGone {
+				delete(out, next.Endpoints[i].Address)
+			}
+		}
+	}
+	return out
+}
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -55,6 +55,7 @@
 	// started is set once client can be used by other goroutines: the view may
 	// change before Start.
 	started atomic.Bool
+	last    *resource.Snapshot // used by changed only
 
 	// byOrganisation is replaced as a whole when an organisation is added.
 	byOrganisation atomic.Pointer[map[string]*callMetrics]
@@ -120,21 +121,18 @@
 	return err
 }
 
-// changed closes idle connections to endpoints that are draining or gone.
+// changed takes over a new snapshot and closes idle connections to endpoints that
+// drain or are gone. The view calls it for one snapshot at a time.
 func (o *Outbound) changed(s *resource.Snapshot) {
 	o.table.apply(s, time.Now())
-	if !o.started.Load() {
+	before := o.last
+	o.last = s
+	if !o.started.Load() || before == nil {
 		return
 	}
-	use := map[string]bool{}
-	for _, set := range s.Sets {
-		for i := range set.Endpoints {
-			if set.Endpoints[i].State != resource.StateDraining && set.Endpoints[i].State != resource.StateGone {
-				use[set.Endpoints[i].Address] = true
-			}
-		}
+	if leaving := leaving(before.Sets, s.Sets); len(leaving) > 0 {
+		o.client.CloseIdle(func(address string) bool { return leaving[address] })
 	}
-	o.client.CloseIdle(func(address string) bool { return !use[address] })
 }
 
 // ServeHTTP handles one call. It implements http.Handler.
