dataplane: tests of floods, left work and kept connections

Change: one test each; each was seen to fail without its mechanism. Measured: go test -race -tags lockcheck ./core/... ./plugin/... ./test/dataplane passes.

--- a/core/httpcall/httpcall_test.go
+++ b/core/httpcall/httpcall_test.go
@@ -15,8 +15,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/core/rpc"
 	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
 )
 
@@ -300,6 +303,33 @@
 	}
 }
 
+// Guards against work that starts although its submitter was told that it never
+// will: refused, cancelled or expired in the queue.
+func TestLeftWorkNeverStarts(t *testing.T) {
+	p := pool.New(pool.Options{Workers: 1, Queue: pool.NewKeyedFIFO(2)})
+	block, started, ran := make(chan struct{}), make(chan struct{}), new(atomic.Int32)
+	go func() {
+		_ = Run(context.Background(), p, "", time.Now().Add(time.Minute), func() { close(started); <-block })
+	}()
+	<-started
+	work := func() { ran.Add(1) }
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if err := Run(ctx, p, "", time.Now().Add(time.Minute), work); !errors.Is(err, context.Canceled) {
+		t.Fatalf("cancelled: %v", err)
+	}
+	if err := Run(context.Background(), p, "", time.Now().Add(20*time.Millisecond), work); !errors.Is(err, pool.ErrExpired) {
+		t.Fatalf("expired: %v", err)
+	}
+	if err := Run(context.Background(), p, "", time.Now().Add(time.Minute), work); !errors.Is(err, pool.ErrFull) {
+		t.Fatalf("full: %v", err)
+	}
+	close(block)
+	if err := p.Stop(context.Background()); err != nil || ran.Load() != 0 {
+		t.Fatalf("%d left calls ran, %v", ran.Load(), err)
+	}
+}
+
 // FuzzParseCall guards against call headers that crash or do not survive a round trip.
 func FuzzParseCall(f *testing.F) {
 	for _, s := range []string{"1;250;svc;org", "1;1;a%3Bb;Fundaci%C3%B3n;n;127.0.0.1:1", "2;;;", "1;9;;", ";;;;;;;"} {
--- a/plugin/outbound/decide_test.go
+++ b/plugin/outbound/decide_test.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// Guards against kept connections to endpoints that leave, and against connections
+// that are closed because another service changed.
+func TestConnectionsOfLeavingEndpoints(t *testing.T) {
+	before := map[string]*resource.EndpointSet{"svc": endpoints(4, nil), "other": endpoints(9, nil)}
+	now := map[string]*resource.EndpointSet{"other": before["other"], "svc": endpoints(3, func(i int, e *resource.Endpoint) {
+		e.State = []resource.EndpointState{resource.StateReady, resource.StateDraining, resource.StateStarting}[i]
+	})}
+	got := leaving(before, now)
+	if len(got) != 2 || !got["127.0.0.1:2"] || !got["127.0.0.1:4"] {
+		t.Fatalf("connections to %v are closed, want those to the draining and the missing endpoint", got)
+	}
+}
+
 // Guards against retries that multiply the load of a cluster in trouble.
 func TestRetryBudget(t *testing.T) {
 	var b budget
--- a/test/dataplane/faults_test.go
+++ b/test/dataplane/faults_test.go
@@ -174,6 +174,42 @@
 	}
 }
 
+// Guards against a flood of one organisation that costs the other one calls.
+func TestFloodCostsTheOtherNothing(t *testing.T) {
+	f := newFleet(t, 4)
+	f.add("a", "z1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(10 * time.Millisecond) }))
+	b := f.add("b", "z1", nil)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for range 32 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if got := b.call("POST", "north", "/", "x"); got.verdict == "not-run" {
+					refused.Add(1)
+				}
+			}
+		}()
+	}
+	for i := range 100 {
+		if got := b.call("POST", "south", "/", "x"); got.status != 200 {
+			t.Errorf("call %d of the other organisation: %+v", i, got)
+		}
+	}
+	close(stop)
+	wg.Wait()
+	if refused.Load() == 0 {
+		t.Error("the flood was not refused, so nothing was tested")
+	}
+}
+
 // keyedFleet has four nodes in two zones and counts executions by path.
 func keyedFleet(t *testing.T) (*fleet, *ledger) {
 	l := &ledger{runs: map[string]int{}}
--- a/test/dataplane/path_test.go
+++ b/test/dataplane/path_test.go
@@ -32,6 +32,11 @@
 	if got := b.call("GET", "nobody", "/", ""); got.status != 404 || got.verdict != "not-run" {
 		t.Fatalf("no route: %+v", got)
 	}
+	s := b.view.snapshot.Swap(nil)
+	if got := b.call("GET", "north", "/", ""); got.status != 503 || got.verdict != "not-run" {
+		t.Fatalf("no configuration: %+v", got)
+	}
+	b.view.snapshot.Store(s)
 	big := strings.Repeat("0123456789", 100_000)
 	if got := b.call("POST", "south", "/", big); got.err != nil || got.body != "south:"+big {
 		t.Fatalf("large body: status %d, %d bytes, error %v", got.status, len(got.body), got.err)
