httpcall, dataplane: overlap of holders; figures without relays

Cause: the tests' relays stood between the nodes that were measured, and no test showed that one holder of a claim stays when one endpoint comes or goes.

--- /dev/null
+++ b/core/httpcall/placement_test.go
@@ -0,0 +1,43 @@
+package httpcall
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/celeryyard/celeryyard/core/resource"
+)
+
+// Guards against a change of one endpoint that moves a claim to two nodes which
+// do not know it, and against both holders in one zone without need.
+func TestHoldersOverlap(t *testing.T) {
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(6))
+	props.Property("one holder stays", prop.ForAll(func(n, zones int, seed uint64) bool {
+		r := rand.New(rand.NewPCG(seed, 0))
+		set := &resource.EndpointSet{}
+		for i := range n {
+			set.Endpoints = append(set.Endpoints, resource.Endpoint{
+				Node: fmt.Sprint("n", i), AvailabilityZone: fmt.Sprint("z", r.IntN(zones)), State: resource.StateReady,
+			})
+		}
+		id := ClaimID("o", "s", fmt.Sprint(seed))
+		p, b := Holders(set, id)
+		for i := range set.Endpoints {
+			if e := &set.Endpoints[i]; e.AvailabilityZone != p.AvailabilityZone && b.AvailabilityZone == p.AvailabilityZone {
+				return false
+			}
+			less := &resource.EndpointSet{}
+			less.Endpoints = append(append(less.Endpoints, set.Endpoints[:i]...), set.Endpoints[i+1:]...)
+			p2, b2 := Holders(less, id)
+			if p2.Node != p.Node && p2.Node != b.Node && (b2 == nil || b2.Node != p.Node && b2.Node != b.Node) {
+				return false
+			}
+		}
+		return true
+	}, gen.IntRange(2, 12), gen.IntRange(1, 4), gen.UInt64()))
+	props.TestingRun(t)
+}
--- a/test/dataplane/bench_test.go
+++ b/test/dataplane/bench_test.go
@@ -10,6 +10,7 @@
 // two nodes.
 func BenchmarkCall(b *testing.B) {
 	f := newFleet(b, 64)
+	f.plain = true
 	up := f.add("a", "z1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "ok") }))
 	n := f.add("b", "z1", nil)
 	for name, url := range map[string]string{"direct": up.upstream.URL + "/", "nodes": "http://" + n.outbound + "/"} {
--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -45,6 +45,8 @@
 	t     testing.TB
 	key   string
 	slots int
+	// plain leaves the relays out, which figures must not contain.
+	plain bool
 	route resource.Route
 	clust resource.Cluster
 	mu    sync.Mutex
@@ -112,6 +114,9 @@
 		Node: n.name, Service: "svc", Incarnation: uint64(time.Now().UnixNano()), Address: n.relay.address,
 		AvailabilityZone: n.zone, Slots: f.slots, State: resource.StateReady, ReadySince: 1,
 	}
+	if f.plain {
+		n.endpoint.Address = n.inbound
+	}
 	n.announce.mu.Lock()
 	n.announce.endpoint, n.announce.upstream = n.endpoint, strings.TrimPrefix(n.upstream.URL, "http://")
 	n.announce.onDrain = func() { f.setState(n, resource.StateDraining) }
