--- a/plugin/quorum/apply.go
+++ b/plugin/quorum/apply.go
@@ -79,7 +79,9 @@
 	q.applied = 0
 	q.proposals.skipped(s.Index, q.call)
 	q.barriersApplied(s.Index)
-	q.call(func() { q.c.Log.Log(evInstalled).Uint("index", s.Index).Int("bytes", len(s.Data)).Send() })
+	if s.Index > 1 { // index 1 is the founding of the group
+		q.call(func() { q.c.Log.Log(evInstalled).Uint("index", s.Index).Int("bytes", len(s.Data)).Send() })
+	}
 	return true
 }
 
--- a/plugin/quorum/barrier.go
+++ b/plugin/quorum/barrier.go
@@ -47,7 +47,7 @@
 func (q *Quorum) Barrier(timeout time.Duration, done func(err error)) {
 	q.metrics.barriers.Inc()
 	q.mu.Lock()
-	if q.stopping || q.core == nil {
+	if q.stopping || !q.started {
 		q.mu.Unlock()
 		done(verdict.Wrap(verdict.NotRun, errStopping))
 		return
--- a/plugin/quorum/join.go
+++ b/plugin/quorum/join.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,10 +49,10 @@
 
 func (q *Quorum) changeMembers(now raft.Instant) {
 	config := q.core.Config()
-	if q.core.ConfigPending() || !mayChange(&config, q.s.Voters, len(q.joins)) {
+	if q.core.ConfigPending() || !raft.MayChange(&config, q.s.Voters, len(q.joins)) {
 		return
 	}
-	next, ok := nextChange(config, q.s.Voters, q.joins, q.core.Commit(), q.core.Progress())
+	next, ok := raft.NextChange(config, q.s.Voters, q.joins, q.core.Commit(), q.core.Progress())
 	if !ok {
 		q.joins = nil
 		return
@@ -61,6 +60,7 @@
 	if q.core.ProposeConfig(now, next.Config) != nil {
 		return // tried again at the next tick
 	}
+	q.joins = nil // whoever is not added by this change asks again
 	q.call(func() {
 		q.c.Log.Log(evMember).Str("change", next.What).Str("member", next.Member.ID.String()).Str("member_instance", next.Member.Name).Send()
 	})
@@ -139,9 +139,7 @@
 	if _, ok := committed.Find(m.ID); m.Member && !ok && m.Commit <= q.core.Commit() {
 		return joinAnswer{Removed: true}, nil
 	}
-	if !slices.ContainsFunc(q.joins, func(j replog.Member) bool { return j.ID == m.ID }) {
-		q.joins = append(q.joins, replog.Member{ID: m.ID, Name: name})
-	}
+	q.joins = raft.AddJoin(q.joins, replog.Member{ID: m.ID, Name: name})
 	return joinAnswer{}, nil
 }
 
--- /dev/null
+++ b/plugin/quorum/member_test.go
@@ -0,0 +1,203 @@
+package quorum_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+)
+
+func (g *group) propose(name, text string) {
+	g.t.Helper()
+	if err := g.mach[name].propose(10*time.Second, text); err != nil {
+		g.t.Fatalf("proposal %s at %s: %v", text, name, err)
+	}
+}
+
+// replaceDisk stops an instance, moves its data folder away and starts it with
+// an empty one. It returns the path of the old folder.
+func (g *group) replaceDisk(name string) string {
+	g.t.Helper()
+	g.stop[name]()
+	old := g.dir[name]
+	g.dir[name] = old + "-new"
+	if err := os.Mkdir(g.dir[name], 0o750); err != nil {
+		g.t.Fatal(err)
+	}
+	g.start(name, false)
+	return old
+}
+
+func (g *group) waitVoter(name, seenBy string) {
+	g.t.Helper()
+	kerneltest.Wait(g.t, 15*time.Second, name+" votes again", func() bool {
+		s := g.mach[name].log.Status()
+		return (s.Role == "follower" || s.Role == "leader") && slices.Contains(g.mach[seenBy].log.Status().Voters, name)
+	})
+}
+
+// Guards against a lost disk that costs the group its tolerance for the next
+// loss, against its old folder that votes again, and against a second group
+// formed by the instance without its data.
+func TestLostDiskIsReplacedThenAnotherVoterIsLost(t *testing.T) {
+	g := startVoters(t, "", "a", "b", "c")
+	g.propose("a", "1")
+	old := g.replaceDisk("b")
+	g.waitVoter("b", "a")
+	g.propose("b", "2")
+
+	g.stop["c"]()
+	g.waitLeader()
+	g.propose("b", "3")
+	g.waitApplied("1,2,3", "a", "b")
+
+	g.stop["b"]()
+	g.dir["b"] = old
+	g.start("c", false)
+	g.waitLeader()
+	if err := g.ends("b", false); err == nil || !strings.Contains(err.Error(), "was removed") {
+		t.Fatalf("start with the old folder: %v", err)
+	}
+	g.dir["b"] = t.TempDir()
+	if err := g.ends("b", true); err == nil || !strings.Contains(err.Error(), "a group exists") {
+		t.Fatalf("bootstrap with an empty folder: %v", err)
+	}
+}
+
+// Guards against a learner without a disk that misses the state after a restart,
+// against snapshots that are lost in parts, and against a log that grows without bound.
+func TestLearnerIsFilledBySnapshot(t *testing.T) {
+	g := startVoters(t, `, "snapshot_entries": 20, "keep_entries": 5`, "a", "b", "c", "d")
+	big := strings.Repeat("x", 600<<10)
+	want := ""
+	for i := range 40 {
+		text := fmt.Sprint(i)
+		if i < 5 {
+			text += big // several parts
+		}
+		g.propose("a", text)
+		want = strings.TrimPrefix(want+","+text, ",")
+	}
+	for range 2 {
+		g.start("d", false)
+		kerneltest.Wait(t, 10*time.Second, "d has the state", func() bool { return g.mach["d"].applied() == want })
+		if err := g.mach["d"].barrier(5 * time.Second); err != nil {
+			t.Fatalf("barrier at the learner: %v", err)
+		}
+		if s := g.mach["d"].log.Status(); s.Role != "learner" || s.Confirmed.IsZero() {
+			t.Fatalf("status of the learner: %+v", s)
+		}
+		g.stop["d"]()
+	}
+	files, err := filepath.Glob(filepath.Join(g.dir["a"], "journal", "seg-*.log"))
+	if err != nil || len(files) > 3 {
+		t.Fatalf("%d segments after compaction (%v)", len(files), err)
+	}
+	g.stop["a"]()
+	g.start("a", false)
+	g.waitApplied(want, "a", "b", "c")
+}
+
+// Guards against an instance that is cut off and reports its data as current,
+// answers reads, or reports an undecided change as not executed.
+func TestIsolatedInstanceKnowsItsAge(t *testing.T) {
+	g := startVoters(t, "", "a", "b", "c")
+	g.propose("a", "1")
+	leader := g.waitLeader()
+	m := g.mach[leader]
+	if err := m.barrier(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if age := time.Since(m.log.Status().Confirmed); age > time.Second {
+		t.Fatalf("age of a leader's knowledge %v", age)
+	}
+	before := time.Now()
+	for _, n := range g.names {
+		if n != leader {
+			g.stop[n]()
+		}
+	}
+	after := time.Now()
+	err := m.propose(300*time.Millisecond, "lost")
+	if err == nil {
+		t.Fatal("accepted without a majority")
+	}
+	t.Logf("proposal of the isolated leader: %v", err)
+	kerneltest.Wait(t, 5*time.Second, "step down", func() bool { return m.log.Status().Role != "leader" })
+	if err := m.propose(100*time.Millisecond, "x"); verdict.Of(err) != verdict.NotRun {
+		t.Fatalf("proposal without a leader: %v", err)
+	}
+	if err := m.barrier(200 * time.Millisecond); err == nil {
+		t.Fatal("read without a majority")
+	}
+	confirmed := m.log.Status().Confirmed
+	if confirmed.After(after) || confirmed.Before(before.Add(-time.Second)) {
+		t.Fatalf("knowledge of %v, the last voter stopped between %v and %v", confirmed, before, after)
+	}
+}
+
+// Guards against a planned stop of the leader that costs an election timeout.
+func TestStoppingLeaderHandsOver(t *testing.T) {
+	g := startVoters(t, "", "a", "b", "c")
+	g.propose("a", "1")
+	leader := g.waitLeader()
+	begin := time.Now()
+	g.stop[leader]()
+	delete(g.mach, leader)
+	next := g.waitLeader()
+	took := time.Since(begin)
+	if next == leader || took > 800*time.Millisecond {
+		t.Fatalf("%s leads after %s, %v after the stop began", next, leader, took)
+	}
+	g.propose(next, "2")
+	t.Logf("next leader after %v", took)
+}
+
+// Guards against a released version that is lower after a restart.
+func TestReleasedVersionSurvivesARestart(t *testing.T) {
+	g := startVoters(t, "", "a", "b", "c")
+	done := make(chan error, 1)
+	g.mach["a"].log.Release(17, func(err error) { done <- err })
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	g.stop["a"]()
+	if v := g.start("a", false).log.Released(); v != 17 {
+		t.Fatalf("released version %d after the restart, want 17", v)
+	}
+}
+
+// Guards against an instance that goes on without its disk.
+func TestDiskErrorEndsTheProcess(t *testing.T) {
+	g := newGroup(t, "a", "b", "c")
+	for _, n := range []string{"b", "c"} {
+		g.start(n, true)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- g.ends("a", true) }()
+	for _, n := range []string{"b", "c"} {
+		kerneltest.Wait(t, 10*time.Second, "a leader", func() bool { return g.mach[n].log.Status().Leader != "" })
+	}
+	g.propose("b", "1")
+	if err := os.RemoveAll(filepath.Join(g.dir["a"], "journal")); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 8 { // the next segment cannot be created
+		// While a leads, proposals may stay undecided.
+		_ = g.mach["c"].propose(500*time.Millisecond, strings.Repeat("x", 20<<10)+fmt.Sprint(i))
+	}
+	select {
+	case err := <-ended:
+		if err == nil || !strings.Contains(err.Error(), "create seg-") {
+			t.Fatalf("process ended with %v", err)
+		}
+	case <-time.After(15 * time.Second):
+		t.Fatal("process goes on")
+	}
+}
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -257,7 +257,7 @@
 func (q *Quorum) Status() api.QuorumStatus {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.core == nil {
+	if !q.started {
 		return api.QuorumStatus{}
 	}
 	s := api.QuorumStatus{
--- a/plugin/quorum/propose.go
+++ b/plugin/quorum/propose.go
@@ -25,7 +25,7 @@
 	errTimeout    = errors.New("proposal was not decided in time")
 	errNoLeader   = errors.New("no leader could be reached in time")
 	errReplaced   = errors.New("another entry was committed in place of the proposal")
-	errStopping   = errors.New("instance is stopping")
+	errStopping   = errors.New("instance is starting or stopping")
 	errOverloaded = errors.New("leader has too many uncommitted proposals")
 )
 
@@ -153,7 +153,7 @@
 		return
 	}
 	q.mu.Lock()
-	if q.stopping || q.core == nil {
+	if q.stopping || !q.started {
 		q.mu.Unlock()
 		done(nil, verdict.Wrap(verdict.NotRun, errStopping))
 		return
@@ -234,7 +234,10 @@
 		q.proposals.finish(p, nil, verdict.Wrap(verdict.NotRun, errOverloaded), q.call)
 		return
 	case err != nil:
-		return // the entry may or may not be in the log; applying or the deadline decides
+		// The entry may or may not be in the log. It is applied within the time of an
+		// election or may stay undecided for long, so the caller is told early.
+		p.deadline = min(p.deadline, q.now()+2*raft.Instant(q.s.ElectionTimeout.D()))
+		return
 	case json.Unmarshal(raw, &a) != nil || a.Index == 0:
 		return
 	}
--- a/plugin/quorum/quorum_test.go
+++ b/plugin/quorum/quorum_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+	"github.com/celeryyard/celeryyard/kernel/settings"
 	_ "github.com/celeryyard/celeryyard/plugin/quorum" // registers itself
 )
 
@@ -31,9 +33,10 @@
 
 // machine is a state machine that keeps every applied text.
 type machine struct {
-	log  api.Log
-	mu   sync.Mutex
-	list []string
+	log    api.Log
+	kernel *kernel.Kernel
+	mu     sync.Mutex
+	list   []string
 }
 
 func (m *machine) Start(context.Context) error { return nil }
@@ -89,6 +92,8 @@
 	stop  map[string]func()
 }
 
+var testPlugins = []string{"peer", "journal", "quorum", "testmachine"}
+
 const voterNames = `["a", "b", "c"]`
 
 func newGroup(t testing.TB, names ...string) *group {
@@ -109,17 +114,39 @@
 
 func (g *group) start(name string, bootstrap bool) *machine {
 	g.t.Helper()
+	k, stop := kerneltest.Start(g.t, testPlugins, g.settings(name), bootstrap)
+	m := k.Service("testmachine").(*machine)
+	m.kernel = k
+	g.mach[name], g.stop[name] = m, stop
+	kerneltest.Wait(g.t, 5*time.Second, "start of "+name, func() bool { return m.log.Status().Member != "" })
+	return m
+}
+
+// ends starts an instance that shall end by itself and returns its error.
+func (g *group) ends(name string, bootstrap bool) error {
+	g.t.Helper()
+	file, err := settings.Parse("test.json", []byte(g.settings(name)))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	k, err := kernel.New(kernel.Options{Plugins: testPlugins, Settings: file, Log: io.Discard, Bootstrap: bootstrap})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return k.Run(ctx)
+}
+
+func (g *group) settings(name string) string {
 	var list []string
 	for _, n := range g.names {
 		list = append(list, fmt.Sprintf(`{"name": %q, "address": %q}`, n, g.addr[n]))
 	}
-	text := fmt.Sprintf(`{"instance": {"name": %q, "fleet_key_file": %q, "data_folder": %q},
+	return fmt.Sprintf(`{"instance": {"name": %q, "fleet_key_file": %q, "data_folder": %q},
 		"peer": {"listen": %q, "instances": [%s]},
+		"journal": {"segment_bytes": 65536},
 		"quorum": {"voters": %s %s}}`, name, g.key, g.dir[name], g.addr[name], strings.Join(list, ","), voterNames, g.extra)
-	k, stop := kerneltest.Start(g.t, []string{"peer", "journal", "quorum", "testmachine"}, text, bootstrap)
-	m := k.Service("testmachine").(*machine)
-	g.mach[name], g.stop[name] = m, stop
-	return m
 }
 
 func (g *group) leader() string {
@@ -145,8 +172,9 @@
 	}
 }
 
-func startVoters(t testing.TB, names ...string) *group {
+func startVoters(t testing.TB, extra string, names ...string) *group {
 	g := newGroup(t, names...)
+	g.extra = extra
 	for _, n := range []string{"a", "b", "c"} {
 		g.start(n, true)
 	}
@@ -158,7 +186,7 @@
 // only, on the way from any instance through the leader, and over a restart of
 // the whole group.
 func TestProposalsReachAllInstances(t *testing.T) {
-	g := startVoters(t, "a", "b", "c", "d")
+	g := startVoters(t, "", "a", "b", "c", "d")
 	g.start("d", false)
 	want := ""
 	for i, n := range []string{"a", "b", "c", "d", "a"} {
--- a/plugin/quorum/raft/follow.go
+++ b/plugin/quorum/raft/follow.go
@@ -149,8 +149,9 @@
 	if p.flow == replicate && p.match < p.next-1 {
 		if term, ok := c.log.term(p.next - 1); ok {
 			c.send(Message{Type: MsgAppend, To: m.From, Index: p.next - 1, LogTerm: term, Commit: c.log.commit, Round: c.lead.round})
+			return
 		}
-		return
+		p.toProbe() // compacted meanwhile: a snapshot follows
 	}
 	if p.match < c.log.last() || p.told < c.log.commit {
 		c.sendAppend(m.From, p)
--- /dev/null
+++ b/plugin/quorum/raft/membership_test.go
@@ -0,0 +1,57 @@
+package raft
+
+import (
+	"testing"
+
+	"github.com/celeryyard/celeryyard/core/replog"
+)
+
+// Guards against a replacement that takes the vote of a live voter, that
+// promotes a learner which still misses committed entries, or that does not
+// remove the old voter first.
+func TestReplacementOfAVoter(t *testing.T) {
+	config := groupOf(3)
+	learner := replog.Member{ID: 9, Name: "b"}
+	joined := config.With(learner)
+	gone := joined.Without(2)
+	listed := []string{"a", "b", "c"}
+	caught := MemberProgress{Match: 10, Active: true}
+	for _, tc := range []struct {
+		name     string
+		config   replog.Config
+		joins    []replog.Member
+		progress map[replog.MemberID]MemberProgress
+		what     string
+	}{
+		{"nothing to do", config, nil, nil, ""},
+		{"new member", config, []replog.Member{{ID: 9, Name: "b", Voter: true}}, nil, "add learner"},
+		{"already a member", joined, []replog.Member{learner}, nil, ""},
+		{"not caught up", joined, nil, map[replog.MemberID]MemberProgress{9: {Match: 9, Active: true}}, ""},
+		{"silent learner", joined, nil, map[replog.MemberID]MemberProgress{9: {Match: 10}}, ""},
+		{"old voter lives", joined, nil, map[replog.MemberID]MemberProgress{9: caught, 2: {Active: true}}, ""},
+		{"old voter is silent", joined, nil, map[replog.MemberID]MemberProgress{9: caught}, "remove voter"},
+		{"old voter is removed", gone, nil, map[replog.MemberID]MemberProgress{9: caught}, "promote learner"},
+		{"not listed", config.With(replog.Member{ID: 8, Name: "x"}), nil, map[replog.MemberID]MemberProgress{8: caught}, ""},
+	} {
+		c, _ := NextChange(tc.config, listed, tc.joins, 10, tc.progress)
+		if c.What != tc.what {
+			t.Errorf("%s: %q, want %q", tc.name, c.What, tc.what)
+		}
+		if c.What == "add learner" && c.Config.IsVoter(9) {
+			t.Errorf("%s: joins with a vote", tc.name)
+		}
+		if c.What != "" && votersChanged(&tc.config, &c.Config) > 1 {
+			t.Errorf("%s: more than one voter changes", tc.name)
+		}
+	}
+}
+
+// Guards against an instance that lost its disk several times and whose old
+// identities take turns as learners, so that none ever catches up.
+func TestOnlyTheNewestJoinOfAnInstanceCounts(t *testing.T) {
+	joins := AddJoin(nil, replog.Member{ID: 8, Name: "b"})
+	joins = AddJoin(joins, replog.Member{ID: 9, Name: "b"})
+	if len(joins) != 1 || joins[0].ID != 9 {
+		t.Fatalf("joins %v, want only member 9", joins)
+	}
+}
--- /dev/null
+++ b/plugin/quorum/sim_test.go
@@ -0,0 +1,273 @@
+package quorum
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
+)
+
+// simNode is one instance: a decision core, the table of proposals and what its
+// disk holds.
+type simNode struct {
+	name     string
+	disk     *simDisk
+	core     *raft.Core
+	table    *proposals
+	member   replog.MemberID
+	state    []string // applied texts
+	pending  *raft.Save
+	joins    []replog.Member
+	reads    map[uint64]uint64 // context to the least index of the answer
+	skew     raft.Instant
+	diskless bool
+	frozen   bool
+	slow     bool // the disk is slow
+}
+
+// simDisk is what survives a crash.
+type simDisk struct {
+	member   replog.MemberID
+	hard     replog.HardState
+	snapshot replog.Snapshot
+	entries  []replog.Entry
+}
+
+func (d *simDisk) append(entries []replog.Entry) {
+	if len(entries) > 0 {
+		n := entries[0].Index - d.snapshot.Index - 1
+		d.entries = append(append([]replog.Entry(nil), d.entries[:n]...), entries...)
+	}
+}
+
+// write carries out the first n writes of a save, as write in disk.go does.
+func (d *simDisk) write(s *raft.Save, n int) {
+	if s.Snapshot != nil {
+		if n > 0 {
+			d.hard = replog.HardState{Term: s.Hard.Term, Vote: s.Hard.Vote, Commit: d.hard.Commit}
+		}
+		if n > 1 {
+			d.snapshot, d.entries = *s.Snapshot, nil
+		}
+		n -= 2
+	}
+	if n > 0 {
+		d.hard = s.Hard
+		d.append(s.Entries)
+	}
+}
+
+type flight struct {
+	m  raft.Message
+	at raft.Instant
+}
+
+// sim drives several instances by hand over a network that loses, repeats and
+// reorders messages, and checks the properties after each step.
+type sim struct {
+	rng    *rand.Rand
+	now    raft.Instant
+	listed []string
+	nodes  []*simNode
+	net    []flight
+	side   map[string]int // part of the network; only equal ones reach each other
+	calm   bool           // no more faults
+	nextID replog.MemberID
+	lost   map[replog.MemberID]bool // voters whose disk is lost
+	err    error
+
+	chosen   map[uint64]string          // index to the entry applied there
+	accepted map[string]bool            // texts whose proposer got a result
+	notRun   map[string]bool            // texts reported as not executed
+	applied  map[string]uint64          // texts to their index
+	votes    map[string]replog.MemberID // voter and term to candidate
+	leaders  map[uint64]replog.MemberID // term to leader
+	history  []commitAt                 // rise of the highest commit index
+	texts    int
+}
+
+type commitAt struct {
+	at    raft.Instant
+	index uint64
+}
+
+func (s *sim) failf(format string, args ...any) {
+	if s.err == nil {
+		s.err = errors.Newf("at %dms: "+format, append([]any{s.now / 1e6}, args...)...)
+	}
+}
+
+const ms = raft.Instant(1e6)
+
+func newSim(seed uint64, voters int) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: 1000 * ms, side: map[string]int{}, lost: map[replog.MemberID]bool{},
+		chosen: map[uint64]string{}, accepted: map[string]bool{}, notRun: map[string]bool{}, applied: map[string]uint64{},
+		votes: map[string]replog.MemberID{}, leaders: map[uint64]replog.MemberID{},
+	}
+	var config replog.Config
+	for i := range voters + 1 {
+		n := &simNode{name: string(rune('a' + i)), disk: &simDisk{}, diskless: i == voters, skew: raft.Instant(s.rng.Int64N(int64(500 * ms)))}
+		s.nodes = append(s.nodes, n)
+		s.nextID++
+		n.disk.member = s.nextID
+		if i < voters {
+			s.listed = append(s.listed, n.name)
+			config.Members = append(config.Members, replog.Member{ID: s.nextID, Name: n.name, Voter: true})
+		}
+	}
+	for _, n := range s.nodes {
+		s.start(n)
+		if !n.diskless {
+			n.core.Found(s.local(n), config)
+			s.drive(n)
+		}
+	}
+	return s
+}
+
+// local returns the instance's own clock.
+func (s *sim) local(n *simNode) raft.Instant { return s.now + n.skew }
+
+// start builds the core from the disk and applies what is known to be committed.
+func (s *sim) start(n *simNode) {
+	d := n.disk
+	n.member, n.pending, n.joins, n.state, n.reads = d.member, nil, nil, nil, map[uint64]uint64{}
+	n.frozen, n.slow = false, false
+	n.table = &proposals{}
+	n.table.init(s.rng.Uint64())
+	if len(d.snapshot.Data) > 0 {
+		_ = json.Unmarshal(d.snapshot.Data, &n.state)
+	}
+	n.core = raft.New(raft.Options{
+		ID: d.member, Election: 900 * ms, Heartbeat: 200 * ms, LearnerHeartbeat: 600 * ms,
+		MaxBatchBytes: 200, MaxInflight: 3, MaxUncommitted: 1 << 20, Rand: s.rng,
+	}, raft.Recovered{Hard: d.hard, Snapshot: d.snapshot, Entries: d.entries}, s.local(n))
+	s.drive(n)
+}
+
+// drive carries out what the core wants, up to the next sync.
+func (s *sim) drive(n *simNode) {
+	for s.err == nil {
+		rd := n.core.Ready()
+		if rd.Save != nil {
+			n.pending = rd.Save
+		}
+		s.sent(n, rd.Messages)
+		for _, r := range rd.Reads {
+			if want := n.reads[r.Context]; !r.Lost && r.Index < want {
+				s.failf("%s answers a read with index %d, %d was committed before it", n.name, r.Index, want)
+			}
+		}
+		if !s.apply(n) && len(rd.Messages) == 0 && len(rd.Reads) == 0 {
+			break
+		}
+	}
+	s.check(n)
+}
+
+func (s *sim) sent(n *simNode, messages []raft.Message) {
+	for _, m := range messages {
+		s.checkVote(n, &m)
+		if m.Type == raft.MsgSnapshot {
+			snap := n.disk.snapshot
+			m.Snapshot = &snap
+		}
+		s.net = append(s.net, flight{m, s.now})
+		if !s.calm && s.rng.IntN(40) == 0 {
+			s.net = append(s.net, flight{m, s.now})
+		}
+	}
+}
+
+// checkVote records each vote that leaves an instance.
+func (s *sim) checkVote(n *simNode, m *raft.Message) {
+	candidate := m.To
+	switch {
+	case m.Type == raft.MsgVote:
+		candidate = m.From
+	case m.Type == raft.MsgVoteResp && !m.Reject:
+		if config := n.core.Config(); len(config.Members) == 0 {
+			s.failf("%s votes with an empty disk", n.name)
+		}
+	default:
+		return
+	}
+	key := fmt.Sprintf("%v/%d", m.From, m.Term)
+	if old, ok := s.votes[key]; ok && old != candidate {
+		s.failf("%s votes for %v and %v in term %d", n.name, old, candidate, m.Term)
+	}
+	s.votes[key] = candidate
+}
+
+// apply applies one batch of committed entries and checks each.
+func (s *sim) apply(n *simNode) bool {
+	snapshot, entries := n.core.NextApply(300)
+	call := func(f func()) { f() }
+	if snapshot != nil {
+		n.state = nil
+		if len(snapshot.Data) > 0 {
+			_ = json.Unmarshal(snapshot.Data, &n.state)
+		}
+		n.core.Applied(snapshot.Index)
+		n.table.skipped(snapshot.Index, call)
+		return true
+	}
+	for i := range entries {
+		e := &entries[i]
+		id := fmt.Sprintf("%d %d %q", e.Term, e.Kind, e.Data)
+		if old, ok := s.chosen[e.Index]; ok && old != id {
+			s.failf("%s applies %s at index %d, another instance %s", n.name, id, e.Index, old)
+		}
+		s.chosen[e.Index] = id
+		if e.Kind == replog.KindData {
+			text := string(payload(e.Data))
+			n.state = append(n.state, text)
+			if at, ok := s.applied[text]; ok && at != e.Index {
+				s.failf("%s is applied at %d and %d", text, at, e.Index)
+			}
+			s.applied[text] = e.Index
+			if s.notRun[text] {
+				s.failf("%s was reported as not executed and is applied at %d", text, e.Index)
+			}
+		}
+		n.core.Applied(e.Index)
+		n.table.applied(e, nil, call)
+	}
+	return len(entries) > 0
+}
+
+// check verifies what holds for an instance at any time.
+func (s *sim) check(n *simNode) {
+	if n.core.State() == raft.Leader {
+		term := n.core.Term()
+		if old, ok := s.leaders[term]; ok && old != n.member {
+			s.failf("%v and %v both lead term %d", old, n.member, term)
+		}
+		s.leaders[term] = n.member
+	}
+	if commit := n.core.Commit(); commit > s.committed() {
+		s.history = append(s.history, commitAt{s.now, commit})
+	}
+	at, ok := n.core.Confirmed()
+	if !ok {
+		return
+	}
+	i := sort.Search(len(s.history), func(i int) bool { return s.history[i].at >= at-n.skew })
+	if i > 0 && n.core.Commit() < s.history[i-1].index {
+		s.failf("%s at commit index %d takes its knowledge of %dms for current, when %d was committed", n.name, n.core.Commit(), (at-n.skew)/ms, s.history[i-1].index)
+	}
+}
+
+// committed returns the highest commit index that any instance has known.
+func (s *sim) committed() uint64 {
+	if len(s.history) == 0 {
+		return 0
+	}
+	return s.history[len(s.history)-1].index
+}
