--- a/plugin/quorum/pump.go
+++ b/plugin/quorum/pump.go
@@ -139,17 +139,32 @@
 			out[key] = s
 		}
 		s.Messages = append(s.Messages, toWire(m))
+		for j := range m.Entries {
+			s.bytes += m.Entries[j].Size()
+		}
 	}
 	return out
 }
 
+// largeMessage is the size in bytes from which a message is encoded in a job of
+// its own, so that heartbeats do not wait for it.
+const largeMessage = 64 << 10
+
 // sendAll queues messages on the connections; what cannot be sent is lost.
 func (q *Quorum) sendAll(out map[string]*stepMessage) {
 	for _, s := range out {
-		if l := q.links[s.name]; l != nil {
-			if c := l.Conn(); c != nil {
-				_ = c.Notify("quorum.step", s) // a broken connection is seen by its link
-			}
+		if s.bytes < largeMessage {
+			q.sendOne(s)
+			continue
+		}
+		_ = q.c.Next(pumpKey+"/send/"+s.name, func() { q.sendOne(s) }) // a full pool loses the message
+	}
+}
+
+func (q *Quorum) sendOne(s *stepMessage) {
+	if l := q.links[s.name]; l != nil {
+		if c := l.Conn(); c != nil {
+			_ = c.Notify("quorum.step", s) // a broken connection is seen by its link
 		}
 	}
 }
--- a/plugin/quorum/quorum_test.go
+++ b/plugin/quorum/quorum_test.go
@@ -186,6 +186,7 @@
 // only, on the way from any instance through the leader, and over a restart of
 // the whole group.
 func TestProposalsReachAllInstances(t *testing.T) {
+	t.Parallel()
 	g := startVoters(t, "", "a", "b", "c", "d")
 	g.start("d", false)
 	want := ""
@@ -219,6 +220,7 @@
 // Guards against a change that is reported as not executed by an instance
 // without a majority and takes effect later.
 func TestProposalWithoutLeaderIsNotRun(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t, "a", "b", "c")
 	m := g.start("a", true)
 	if err := m.propose(200*time.Millisecond, "x"); verdict.Of(err) != verdict.NotRun {
--- a/plugin/quorum/wire.go
+++ b/plugin/quorum/wire.go
@@ -13,6 +13,7 @@
 	To       replog.MemberID `json:"o"`
 	Messages []wireMessage   `json:"m"`
 	name     string          // instance that it goes to
+	bytes    int             // approximate size of the entries
 }
 
 type wireMessage struct {
