discovery: a restarted instance waits for a complete table

Cause: when all control instances die and return together, each one's peers answer a sync with no records; the table counted as complete at once and nodes were sent empty endpoint sets 40 ms after the restart. Ruled out: lease expiry (grace is 5 s) and a single restart (peers return the records they kept). Change: a sync says whether the sender's table was complete; without such a sender an instance waits settle_timeout before it replaces sets that nodes hold.

--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -124,7 +124,10 @@
 	Seq uint64 `json:"seq"`
 	// Version is the highest version that the sender has released to any node.
 	Version resource.Version `json:"version"`
-	Records []Record         `json:"records,omitempty"`
+	// Settled tells, in a sync, that the sender's table is complete: it did not
+	// lose its records in a restart a moment ago.
+	Settled bool     `json:"settled,omitzero"`
+	Records []Record `json:"records,omitempty"`
 	// Others holds, in a sync, records that no other instance vouches for now: those
 	// that the receiver owned before its restart and those of silent owners.
 	Others []Record `json:"others,omitempty"`
--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -105,6 +105,7 @@
 	if t.resync {
 		method, t.resync = peerapi.DiscoverySync, false
 		m.Records, m.Others = d.table.full(t.name)
+		m.Settled = d.settled
 	} else {
 		m.Records = d.table.own(t.dirty)
 	}
--- a/plugin/discovery/owner.go
+++ b/plugin/discovery/owner.go
@@ -35,7 +35,7 @@
 	if m.Epoch < o.epoch || m.Epoch == o.epoch && m.Seq < o.seq {
 		return // late message
 	}
-	o.epoch, o.seq, o.heard, o.synced = m.Epoch, m.Seq, now, true
+	o.epoch, o.seq, o.heard, o.synced, o.settled = m.Epoch, m.Seq, now, true, m.Settled
 	named := map[string]bool{}
 	for _, r := range m.Records {
 		t.merge(r, now, time.Time{})
@@ -103,14 +103,18 @@
 	}
 }
 
-// settled reports whether the records of all other instances have arrived.
+// settled reports whether the records of all other instances have arrived and
+// one of them had a complete table. When all instances restart together none
+// has, and the nodes need time to announce themselves again.
 func (t *table) settled() bool {
+	complete := false
 	for _, o := range t.owners {
 		if !o.synced {
 			return false
 		}
+		complete = complete || o.settled
 	}
-	return true
+	return complete
 }
 
 // full returns the records that a sync to another instance carries: the own
--- a/plugin/discovery/table.go
+++ b/plugin/discovery/table.go
@@ -30,8 +30,9 @@
 	heard      time.Time
 	// silent marks all records of the owner as stale.
 	silent bool
-	// synced tells that all records of the epoch have arrived.
-	synced bool
+	// synced tells that all records of the epoch have arrived, and settled that the
+	// owner's table was complete when it sent them.
+	synced, settled bool
 }
 
 // table decides which record of a node holds and which endpoints are visible.
