distribution, discovery, announce, trace: faults, admission, replayed trace

Cause: slow nodes, storms, stale and frozen instances, planned stops and upstreams over HTTP were untested; a set stayed on a node when the index of clusters was behind; peer did not close a connection whose handshake ended during Stop, so the process waited for 30 s. Change: tests over real connections, a recorded trace with its outcome, sets are dropped without a delta, peer closes late connections.

--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -17,6 +17,7 @@
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/rank"
+	"github.com/celeryyard/celeryyard/kernel/settings"
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/trace"
 )
@@ -223,6 +224,7 @@
 	now := d.c.Clock.Now()
 	d.mu.Lock()
 	if late := now.Sub(d.swept) - d.s.Heartbeat.D(); late > 0 {
+		d.trace.Record("discovery", "pause", now, "", settings.Duration(late))
 		d.table.pause(late)
 	}
 	d.swept = now
--- /dev/null
+++ b/plugin/discovery/replay_test.go
@@ -0,0 +1,88 @@
+package discovery
+
+import (
+	"os"
+	"reflect"
+	"testing"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/celeryyard/celeryyard/core/peerapi"
+	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/kernel/settings"
+	"github.com/celeryyard/celeryyard/plugin/trace"
+)
+
+// replay feeds the lines of a trace to the decisions of a table.
+func replay(t *testing.T, tab *table, lines []trace.Line) {
+	decode := func(l trace.Line, into any) {
+		if err := json.Unmarshal(*l.Message.(*jsontext.Value), into); err != nil {
+			t.Fatalf("%s at %v: %v", l.Kind, l.At, err)
+		}
+	}
+	for _, l := range lines {
+		if l.Plugin != "discovery" {
+			continue
+		}
+		switch l.Kind {
+		case "announce":
+			var e resource.Endpoint
+			decode(l, &e)
+			tab.announce(e, l.At)
+		case "detach":
+			var incarnation uint64
+			decode(l, &incarnation)
+			tab.detach(l.From, incarnation, l.At)
+		case "delta", "sync":
+			var m peerapi.Records
+			decode(l, &m)
+			if l.Kind == "sync" {
+				tab.sync(&m, l.At)
+			} else {
+				tab.delta(&m, l.At)
+			}
+		case "pause":
+			var d settings.Duration
+			decode(l, &d)
+			tab.pause(d.D())
+		case "sweep":
+			var s Settings
+			decode(l, &s)
+			tab.expire(l.At, s.Grace.D(), s.TombstoneTTL.D())
+			tab.silence(l.At, s.PeerTimeout.D())
+		default:
+			t.Fatalf("line of kind %q is unknown", l.Kind)
+		}
+	}
+}
+
+// Guards against changes of the decisions that alter the outcome of a recorded
+// run: a withdrawal, a lost lease, a node that moved, an old announcement, and
+// an instance that went silent.
+func TestRecordedMovesEndAsStated(t *testing.T) {
+	text, err := os.ReadFile("testdata/moves.trace.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines, err := trace.Read(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stated, err := os.ReadFile("testdata/moves.outcome.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var outcome struct {
+		Why string               `json:"why"`
+		Set resource.EndpointSet `json:"set"`
+	}
+	if err := json.Unmarshal(stated, &outcome, json.RejectUnknownMembers(true)); err != nil {
+		t.Fatal(err)
+	}
+	tab := newTable("control-0", []string{"control-1"})
+	replay(t, tab, lines)
+	if got := tab.set("catalogo"); !reflect.DeepEqual(got, outcome.Set) {
+		t.Fatalf("the trace ends with %+v, stated is %+v", got, outcome.Set)
+	}
+}
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -71,7 +71,8 @@
 	released resource.Version
 	cut      bool
 	barriers int
-	slow     time.Duration
+	// confirmed is the last time without a cut.
+	confirmed time.Time
 }
 
 func (l *fakeLog) Attach(api.StateMachine) {}
@@ -87,11 +88,16 @@
 		l.c.After(timeout, "fake", func() { done(errors.New("no quorum")) })
 		return
 	}
-	l.c.After(l.slow, "fake", func() { done(nil) })
+	l.c.After(time.Millisecond, "fake", func() { done(nil) })
 }
 
 func (l *fakeLog) Status() api.QuorumStatus {
-	return api.QuorumStatus{Role: "follower", Confirmed: l.c.Clock.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.cut {
+		l.confirmed = l.c.Clock.Now()
+	}
+	return api.QuorumStatus{Role: "follower", Confirmed: l.confirmed}
 }
 
 func (l *fakeLog) Release(v resource.Version, done func(error)) {
@@ -101,6 +107,12 @@
 	l.c.After(0, "fake", func() { done(nil) })
 }
 
+func (l *fakeLog) partition(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
 func (l *fakeLog) Released() resource.Version {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -236,8 +248,8 @@
 
 func (f *fleet) control(i int, extra string) *control {
 	m := f.members[i]
-	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q, "seed": %d},
-		"peer": {"listen": %q, "instances": %s}%s}`, m.Name, m.AvailabilityZone, f.key, i+1, m.Address, f.instances(), extra)
+	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q, "seed": %d, "data_folder": %q},
+		"peer": {"listen": %q, "instances": %s}%s}`, m.Name, m.AvailabilityZone, f.key, i+1, f.t.TempDir(), m.Address, f.instances(), extra)
 	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "distribution"}, text, false)
 	return &control{
 		Kernel: k, catalog: k.Service("catalog").(*fakeCatalog), log: k.Service("quorum").(*fakeLog),
--- /dev/null
+++ b/plugin/distribution/faults_test.go
@@ -0,0 +1,274 @@
+package distribution
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/peerapi"
+	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/core/rpc"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+)
+
+// rawNode is a node that acknowledges updates only when told to.
+type rawNode struct {
+	t       testing.TB
+	name    string
+	conn    *rpc.Conn
+	mu      sync.Mutex
+	updates []peerapi.Update
+}
+
+func (f *fleet) rawNode(i int, name string) *rawNode {
+	var nc net.Conn
+	var err error
+	kerneltest.Wait(f.t, within, "listener", func() bool {
+		nc, err = net.Dial("tcp", f.members[i].Address)
+		return err == nil
+	})
+	r := &rawNode{t: f.t, name: name}
+	r.conn, err = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.Key)), name, true, func(_ *rpc.Conn, q *rpc.Request) {
+		var u peerapi.Update
+		if err := json.Unmarshal(q.Params, &u); err != nil {
+			f.t.Error(err)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.updates = append(r.updates, u)
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.conn.Close)
+	return r
+}
+
+func (r *rawNode) call(method string, params, result any) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if err := r.conn.Call(ctx, method, params, result); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rawNode) received() []peerapi.Update {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]peerapi.Update{}, r.updates...)
+}
+
+// Guards against a slow node that holds back others or makes updates pile up.
+func TestSlowNodeHoldsBackNobody(t *testing.T) {
+	f := newFleet(t, "cant-a")
+	c := f.control(0, "")
+	c.catalog.put("lectura", "catalogo", 1000)
+	n := f.node("n1", "cant-a", "", all, "")
+	kerneltest.Wait(t, within, "first snapshot", func() bool { return n.version() == 1 })
+	slow := f.rawNode(0, "slow")
+	slow.call(peerapi.NodeHello, &peerapi.Hello{Node: "slow", Services: []string{"*"}}, &peerapi.HelloReply{})
+	kerneltest.Wait(t, within, "first update of the slow node", func() bool { return len(slow.received()) == 1 })
+	var v resource.Version
+	for i := range 20 {
+		v = c.catalog.put("lectura", "catalogo", 2000+i)
+	}
+	kerneltest.Wait(t, time.Second, "the other node", func() bool { return n.version() == v })
+	first := slow.received()
+	if len(first) != 1 {
+		t.Fatalf("slow node was sent %d updates without an acknowledgement", len(first))
+	}
+	if err := slow.conn.Notify(peerapi.NodeAck, &peerapi.Ack{ID: first[0].ID, Version: first[0].Delta.To}); err != nil {
+		t.Fatal(err)
+	}
+	kerneltest.Wait(t, within, "the gathered changes", func() bool { return len(slow.received()) == 2 })
+	if d := slow.received()[1].Delta; d.From != 1 || d.To != v || len(d.Upserts) != 1 {
+		t.Fatalf("gathered delta: %+v", d)
+	}
+}
+
+// Guards against nodes that are lost or flood the survivor when an instance dies.
+func TestReconnectStorm(t *testing.T) {
+	const n = 40
+	f := newFleet(t, "cant-a", "cant-b")
+	a, b := f.control(0, ""), f.control(1, `, "distribution": {"resume_rate": 20, "resume_burst": 5}`)
+	a.catalog.put("lectura", "catalogo", 1000)
+	b.catalog.put("lectura", "catalogo", 1000)
+	var nodes []*node
+	for i := range n {
+		nodes = append(nodes, f.node(fmt.Sprint("n", i), "cant-a", "catalogo", all, ""))
+	}
+	everywhere := func(v resource.Version) func() bool {
+		return func() bool {
+			for _, n := range nodes {
+				if n.version() != v || n.endpoints("catalogo") != len(nodes) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	kerneltest.Wait(t, within, "all nodes attached", everywhere(1))
+	before := traffic(nodes)
+	a.stop()
+	v := b.catalog.put("lectura", "catalogo", 2000)
+	began := time.Now()
+	kerneltest.Wait(t, within, "all nodes resumed", everywhere(v))
+	if took := time.Since(began); took < time.Second {
+		t.Errorf("%d sessions resumed in %v although 20 a second were allowed", n, took)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if each := (traffic(nodes) - before) / n; each > 1500 {
+		t.Errorf("a resumed session took %.0f bytes", each)
+	}
+}
+
+// Guards against a restarted node that a stale, partitioned instance takes back
+// to an older version, and against an instance that never admits it again.
+func TestRestartedNodeWaitsForCurrentInstance(t *testing.T) {
+	f := newFleet(t, "cant-a")
+	c := f.control(0, `, "distribution": {"barrier_timeout": "50ms", "barrier_retry": "50ms", "isolated_after": "1h"}`)
+	c.catalog.put("lectura", "catalogo", 1000)
+	n := f.node("n1", "cant-a", "", all, "")
+	kerneltest.Wait(t, within, "first snapshot", func() bool { return n.version() == 1 })
+	c.log.partition(true)
+	holder := f.rawNode(0, "holder") // a node of the zone that another instance has brought to version 3
+	holder.call(peerapi.NodeHello, &peerapi.Hello{Node: "holder", AvailabilityZone: "cant-a", Services: []string{"*"}, Version: 3, Digests: map[string]uint64{"catalogo": 0}}, &peerapi.HelloReply{})
+	n.stop()
+	n = f.node("n1", "cant-a", "", all, "")
+	time.Sleep(400 * time.Millisecond)
+	if n.version() != 0 {
+		t.Fatalf("restarted node was given version %d below 3", n.version())
+	}
+	if len(holder.received()) > 0 {
+		t.Fatalf("holder of version 3 was sent %+v", holder.received())
+	}
+	c.catalog.put("lectura", "catalogo", 2000)
+	v := c.catalog.put("lectura", "catalogo", 3000)
+	c.log.partition(false)
+	kerneltest.Wait(t, within, "admission after the partition", func() bool { return n.version() == v })
+}
+
+// Guards against a node that stays with an instance that does not answer, and
+// against one that never returns to its own zone or leaves it for nothing.
+func TestNodeLeavesFrozenInstanceAndReturns(t *testing.T) {
+	f := newFleet(t, "cant-a", "cant-b")
+	l, err := net.Listen("tcp", f.members[0].Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { // proves the key and then answers nothing
+				_, _ = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.Key)), "control-0", false, func(*rpc.Conn, *rpc.Request) {})
+			}()
+		}
+	}()
+	b := f.control(1, "")
+	b.catalog.put("lectura", "catalogo", 1000)
+	n := f.node("n1", "cant-a", "catalogo", all, `, "home_retry": "300ms", "ping_timeout": "500ms"`)
+	kerneltest.Wait(t, within, "attachment elsewhere", func() bool { return n.version() == 1 && n.endpoints("catalogo") == 1 })
+	l.Close()
+	a := f.control(0, `, "distribution": {"isolated_after": "300ms"}`)
+	a.catalog.put("lectura", "catalogo", 1000)
+	kerneltest.Wait(t, within, "return to the own zone", func() bool { return a.distribution.own().Nodes == 1 && b.distribution.own().Nodes == 0 })
+	a.log.partition(true)
+	kerneltest.Wait(t, within, "departure from the isolated instance", func() bool { return b.distribution.own().Nodes == 1 })
+	time.Sleep(time.Second)
+	if b.distribution.own().Nodes != 1 {
+		t.Fatal("node returned to the isolated instance")
+	}
+	if n.endpoints("catalogo") != 1 {
+		t.Fatalf("node holds %d endpoints, want 1", n.endpoints("catalogo"))
+	}
+	kerneltest.Wait(t, within, "status of both instances", func() bool {
+		s := status(t, b)
+		return len(s) == 2 && s[0].Reachable && s[0].Version == 1 && s[1].Nodes == 1
+	})
+}
+
+func status(t *testing.T, c *control) []api.InstanceStatus {
+	got := make(chan []api.InstanceStatus, 1)
+	c.distribution.Status(time.Second, func(s []api.InstanceStatus) { got <- s })
+	select {
+	case s := <-got:
+		return s
+	case <-time.After(within):
+		t.Fatal("no status")
+		return nil
+	}
+}
+
+// Guards against an answer to a draining announcement that comes before nodes
+// of other instances know.
+func TestDrainingIsAnsweredOnceSpread(t *testing.T) {
+	f := newFleet(t, "cant-a", "cant-b")
+	a, b := f.control(0, ""), f.control(1, "")
+	a.catalog.put("lectura", "catalogo", 1000)
+	b.catalog.put("lectura", "catalogo", 1000)
+	m := f.node("n2", "cant-b", "", all, "")
+	r := f.rawNode(0, "n1")
+	r.call(peerapi.NodeHello, &peerapi.Hello{Node: "n1", Services: []string{"*"}}, &peerapi.HelloReply{})
+	e := resource.Endpoint{Node: "n1", Service: "catalogo", Incarnation: 1, Address: "127.0.0.1:1", Slots: 9, State: resource.StateReady}
+	for i := range 5 {
+		e.Revision, e.State = e.Revision+1, resource.StateReady
+		r.call(peerapi.NodeAnnounce, &peerapi.Announce{Endpoint: e}, &peerapi.AnnounceReply{})
+		kerneltest.Wait(t, within, "ready endpoint", func() bool {
+			return m.endpoints("catalogo") == 1 && m.view.Current().Sets["catalogo"].Endpoints[0].State == resource.StateReady
+		})
+		e.Revision, e.State = e.Revision+1, resource.StateDraining
+		r.call(peerapi.NodeAnnounce, &peerapi.Announce{Endpoint: e}, &peerapi.AnnounceReply{})
+		time.Sleep(10 * time.Millisecond) // the update is on its way to the node
+		if s := m.view.Current().Sets["catalogo"].Endpoints[0].State; s != resource.StateDraining {
+			t.Fatalf("round %d: answered while the other instance's node shows %q", i, s)
+		}
+	}
+}
+
+// Guards against an upstream that cannot announce or withdraw itself, and
+// against a planned stop that ends before its last step.
+func TestUpstreamAnnouncesItselfOverHTTP(t *testing.T) {
+	f := newFleet(t, "cant-a")
+	c := f.control(0, "")
+	c.catalog.put("lectura", "catalogo", 1000)
+	listen := kerneltest.FreeAddress(t)
+	n := f.node("n1", "cant-a", "", all, fmt.Sprintf(`}, "announce": {"listen": %q, "address": "127.0.0.1:7", "linger": "200ms"`, listen))
+	kerneltest.Wait(t, within, "first snapshot", func() bool { return n.version() == 1 })
+	request := func(method, body string) int {
+		req, err := http.NewRequest(method, "http://"+listen+"/v1/upstream", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if code := request("PUT", `{"service": "catalogo", "address": "nowhere", "slots": 9}`); code != http.StatusBadRequest {
+		t.Fatalf("malformed description: status %d", code)
+	}
+	for range 2 { // a new life of the upstream follows a planned stop
+		if code := request("PUT", `{"service": "catalogo", "address": "127.0.0.1:9", "slots": 9}`); code != http.StatusNoContent {
+			t.Fatalf("announcement: status %d", code)
+		}
+		kerneltest.Wait(t, within, "endpoint", func() bool { return n.endpoints("catalogo") == 1 })
+		began := time.Now()
+		if code := request("DELETE", ""); code != http.StatusNoContent || time.Since(began) < 200*time.Millisecond {
+			t.Fatalf("planned stop: status %d after %v", code, time.Since(began))
+		}
+		kerneltest.Wait(t, within, "withdrawal", func() bool { return n.endpoints("catalogo") == 0 })
+	}
+}
--- a/plugin/distribution/session.go
+++ b/plugin/distribution/session.go
@@ -113,7 +113,7 @@
 	for _, service := range sortedKeys(needed) {
 		s.planSet(service, o, u, f)
 	}
-	if exact && u.Delta != nil {
+	if exact {
 		for _, service := range sortedKeys(s.sets) {
 			if !needed[service] {
 				u.Drop = append(u.Drop, service)
@@ -121,7 +121,7 @@
 		}
 		f.drop = u.Drop
 	}
-	if u.Delta == nil && len(u.Sets) == 0 && len(u.Changes) == 0 {
+	if u.Delta == nil && len(u.Sets) == 0 && len(u.Changes) == 0 && len(u.Drop) == 0 {
 		return nil, nil
 	}
 	return u, f
--- a/plugin/peer/plugin.go
+++ b/plugin/peer/plugin.go
@@ -48,6 +48,8 @@
 	mu    *rank.Mutex
 	conns map[uint64]*rpc.Conn
 	links map[*Link]bool
+	// stopping makes connections close whose handshake ends after Stop has begun.
+	stopping bool
 	// total sums the traffic of closed connections.
 	sent, received uint64
 }
@@ -121,6 +123,7 @@
 		_ = p.listener.Close()
 	}
 	p.mu.Lock()
+	p.stopping = true
 	links := make([]*Link, 0, len(p.links))
 	for l := range p.links {
 		links = append(links, l)
@@ -182,8 +185,9 @@
 	}
 	p.mu.Lock()
 	p.conns[c.ID()] = c
+	stopping := p.stopping
 	p.mu.Unlock()
-	if p.ctx.Err() != nil {
+	if stopping || p.ctx.Err() != nil {
 		c.Close()
 	}
 	p.wg.Add(1)
