--- a/cmd/celeryyard/submit.go
+++ b/cmd/celeryyard/submit.go
@@ -102,7 +102,11 @@
 	shown := ""
 	for {
 		var s statusView
-		if _, err := a.client.get(ctx, "/v1/status", &s); err != nil {
+		_, err := a.client.get(ctx, "/v1/status", &s)
+		if err != nil && shown != "" && ctx.Err() != nil {
+			return errors.Newf("version %d is accepted, but not yet in force everywhere: %s", version, shown)
+		}
+		if err != nil {
 			return errors.Wrapf(err, "version %d is accepted, but it is not known whether it is in force", version)
 		}
 		if len(s.Fleet) == 0 {
--- a/core/change/outcome.go
+++ b/core/change/outcome.go
@@ -79,6 +79,6 @@
 	Name             string `json:"name"`
 	ExpectedRevision uint64 `json:"expected_revision,omitzero"`
 	// Digest is Change.Digest.
-	Digest  string  `json:"digest"`
+	Digest  string  `json:"digest,omitempty"`
 	Outcome Outcome `json:"outcome"`
 }
--- a/plugin/catalog/size_test.go
+++ b/plugin/catalog/size_test.go
@@ -75,14 +75,9 @@
 
 // BenchmarkCapacity measures the work of one step at the design capacity.
 func BenchmarkCapacity(b *testing.B) {
-	before := heap()
+	before, n := heap(), 0
 	s := sizedState(b)
-	state := heap() - before
-	data, err := s.encode()
-	if err != nil {
-		b.Fatal(err)
-	}
-	n := 0
+	state, data := heap()-before, []byte(s.encoded())
 	apply := func(b *testing.B, kind change.Kind, body func() (string, string)) {
 		for b.Loop() {
 			n++
@@ -108,9 +103,7 @@
 	})
 	b.Run("snapshot", func(b *testing.B) {
 		for b.Loop() {
-			if _, err := s.encode(); err != nil {
-				b.Fatal(err)
-			}
+			s.encoded()
 		}
 		b.ReportMetric(float64(len(data)), "snapshot-bytes")
 		b.ReportMetric(float64(state), "heap-bytes")
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/kernel"
@@ -34,6 +35,9 @@
 	idleTimeout    = 60 * time.Second
 	writeTimeout   = maxTimeout + 10*time.Second
 	maxHeaderBytes = 16 << 10
+	// maxConnections bounds the memory of connections that have not yet shown a
+	// token; further ones wait in the listener's backlog.
+	maxConnections = 1024
 )
 
 // Operator is the plug-in. It owns no table.
@@ -48,7 +52,6 @@
 	tokens    *tokens
 	echo      *echo.Echo
 	server    *http.Server
-	address   net.Addr
 	// shares holds the bounds of each organisation. It is read-only after Start.
 	shares map[string]*share
 
@@ -93,8 +96,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	o.address = l.Addr()
 	o.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
+	l = netutil.LimitListener(l, maxConnections)
 	o.server = &http.Server{
 		Handler: o.echo, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
