catalog: tests of the bounds on kept answers and on organisations

Cause: the bounds had no test that failed without them. Change: a property over scripts with 10 kept answers, and an organisation that fills its 1,024 teams while the other one still puts its own. Conclusion: both tests fail with their mechanism disabled.

--- /dev/null
+++ b/plugin/catalog/limits_test.go
@@ -0,0 +1,57 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/celeryyard/celeryyard/core/change"
+)
+
+// Guards against answers that are kept without bound, or dropped before the
+// newest ones.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	const kept = 10
+	check(t, func(script []uint32) string {
+		s := newState()
+		s.records.max = kept
+		list := s.play(script)
+		if len(s.records.list) != min(kept, len(list)) || len(s.records.byID) != len(s.records.list) {
+			return fmt.Sprintf("%d records and %d answers after %d changes", len(s.records.list), len(s.records.byID), len(list))
+		}
+		for i, a := range list {
+			rec, ok := s.records.find(a.c.ID)
+			if newest := i >= len(list)-kept; ok != newest || ok && (rec.Outcome != a.out || rec.Seq != uint64(i+1)) {
+				return fmt.Sprintf("change %d of %d: kept %v as %+v", i, len(list), ok, rec)
+			}
+		}
+		return ""
+	})
+}
+
+// Guards against an organisation that uses up the room of another one, and
+// against a catalog without bound.
+func TestTeamsOfOneOrganisationAreBounded(t *testing.T) {
+	s := newState()
+	put := func(kind change.Kind, name, organisation, body string) change.Outcome {
+		return s.apply(&change.Change{
+			ID: "put-" + name, Operator: "op", Organisation: organisation, Roles: []string{change.RoleTeam, change.RoleTemplate},
+			Kind: kind, Action: change.ActionPut, Name: name, Body: []byte(body),
+		}, 0)
+	}
+	team := func(name, organisation string) change.Outcome {
+		return put(change.KindTeam, name, organisation,
+			fmt.Sprintf(`{"name":%q,"organisation":%q,"template":"t0","parameters":{"host":"%s.example","service":"taller"}}`, name, organisation, name))
+	}
+	put(change.KindTemplate, "t0", "kranjc", fmt.Sprintf(bodies[0], "t0"))
+	for i := range maxTeams {
+		if out := team(fmt.Sprintf("k%d", i), "kranjc"); out.State != change.StateAccepted {
+			t.Fatalf("team %d: %+v", i, out)
+		}
+	}
+	if out := team("one-more", "kranjc"); out.Reason != change.ReasonLimit {
+		t.Errorf("team above the limit: %+v", out)
+	}
+	if out := team("other", "tacto-norte"); out.State != change.StateAccepted {
+		t.Errorf("team of the other organisation: %+v", out)
+	}
+}
