--- a/plugin/peer/plugin.go
+++ b/plugin/peer/plugin.go
@@ -48,7 +48,7 @@
 	mu    *rank.Mutex
 	conns map[uint64]*rpc.Conn
 	links map[*Link]bool
-	// stopping closes connections whose handshake ends after Stop has begun.
+	// stopping makes connections close whose handshake ends after Stop has begun.
 	stopping bool
 	// total sums the traffic of closed connections.
 	sent, received uint64
@@ -187,7 +187,7 @@
 	p.conns[c.ID()] = c
 	stopping := p.stopping
 	p.mu.Unlock()
-	if stopping {
+	if stopping || p.ctx.Err() != nil {
 		c.Close()
 	}
 	p.wg.Add(1)
