--- a/cmd/celeryyard/main_test.go
+++ b/cmd/celeryyard/main_test.go
@@ -154,11 +154,46 @@
 		{"node behind", func(i *api.InstanceStatus) { i.LowestVersion, i.Behind = 4, 1 }, false},
 		{"instance behind", func(i *api.InstanceStatus) { i.Version, i.LowestVersion = 4, 4 }, false},
 		{"instance silent", func(i *api.InstanceStatus) { i.Reachable = false }, false},
+		{"node between instances", func(i *api.InstanceStatus) { i.Unseen = 1 }, false},
 	} {
 		other := good
 		tc.change(&other)
-		if line, done := progress(&statusView{Fleet: []api.InstanceStatus{good, other}}, 5); done != tc.want {
-			t.Errorf("%s: in force %v: %s", tc.name, done, line)
+		if l := progress(&statusView{Fleet: []api.InstanceStatus{good, other}}, 5); l.done != tc.want {
+			t.Errorf("%s: in force %v: %s", tc.name, l.done, l.line)
+		}
+	}
+}
+
+// Guards against --wait that never ends while an instance is silent, and against
+// one that gives up while an instance that answers is still behind.
+func TestWaitStatesWhatASilentInstanceLeavesUnknown(t *testing.T) {
+	good := api.InstanceStatus{Instance: "a", Reachable: true, Version: 5, Nodes: 2, LowestVersion: 5}
+	late := api.InstanceStatus{Instance: "c", Reachable: true, Version: 5, Nodes: 2, LowestVersion: 4, Behind: 1}
+	lost := api.InstanceStatus{Instance: "b", Unseen: 2, UnseenNodes: []string{"n1", "n2"}}
+	for _, tc := range []struct {
+		fleet []api.InstanceStatus
+		stale bool
+		want  string
+	}{
+		{[]api.InstanceStatus{good, lost}, false, "b is silent; 2 of the nodes that it served last have not been seen elsewhere (n1, n2)"},
+		{[]api.InstanceStatus{good, {Instance: "b"}}, false, "b is silent; all nodes with an upstream"},
+		{[]api.InstanceStatus{good, lost, late}, false, ""},
+		{[]api.InstanceStatus{good, lost}, true, ""},
+	} {
+		l := progress(&statusView{freshness: freshness{Stale: tc.stale}, Fleet: tc.fleet}, 5)
+		if l.done || !strings.HasPrefix(l.unknown, tc.want) || (tc.want == "") != (l.unknown == "") {
+			t.Errorf("done %v, unknown %q, want %q", l.done, l.unknown, tc.want)
+		}
+	}
+}
+
+// Guards against a status that shows zeros for what is not known of an instance.
+func TestStatusOfSilentInstance(t *testing.T) {
+	var out bytes.Buffer
+	(&statusView{Fleet: []api.InstanceStatus{{Instance: "b", AvailabilityZone: "zb", Unseen: 21, UnseenNodes: []string{"n1"}}}}).columns(&out)
+	for _, want := range []string{"b\tzb\tfalse\t-\t-\t-\t-\t-\t-\t21\n", "last served by b and seen nowhere: n1 and 20 more"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("output lacks %q:\n%s", want, &out)
 		}
 	}
 }
--- a/cmd/celeryyard/submit.go
+++ b/cmd/celeryyard/submit.go
@@ -4,11 +4,8 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"fmt"
 	"net"
 	"net/http"
-	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
@@ -94,68 +91,3 @@
 	}
 	return exitf(kernel.ExitUndecided, "change %s is undecided: %v; run the same command with --id %s", id, a.last, id)
 }
-
-// waitInForce shows progress until every instance and node serves version.
-func (a *app) waitInForce(ctx context.Context, version uint64) error {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	shown := ""
-	for {
-		var s statusView
-		_, err := a.client.get(ctx, "/v1/status", &s)
-		if err != nil && shown != "" && ctx.Err() != nil {
-			return errors.Newf("version %d is accepted, but not yet in force everywhere: %s", version, shown)
-		}
-		if err != nil {
-			return errors.Wrapf(err, "version %d is accepted, but it is not known whether it is in force", version)
-		}
-		if len(s.Fleet) == 0 {
-			return errors.Newf("version %d is accepted; the instance does not show the fleet", version)
-		}
-		line, done := progress(&s, version)
-		if line != shown {
-			fmt.Fprintln(a.stderr, line)
-			shown = line
-		}
-		if done {
-			return nil
-		}
-		if s.Stale {
-			a.client.skip()
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return errors.Newf("version %d is accepted, but not yet in force everywhere: %s", version, line)
-		}
-	}
-}
-
-// pollInterval is the time between two looks at the fleet's state.
-const pollInterval = 250 * time.Millisecond
-
-// progress sums up the fleet and tells whether version is in force everywhere. A
-// node counts as behind while its instance cannot be asked.
-func progress(s *statusView, version uint64) (string, bool) {
-	nodes, behind, current := 0, 0, 0
-	var silent []string
-	for _, i := range s.Fleet {
-		nodes += i.Nodes
-		switch {
-		case i.Reachable && uint64(i.Version) >= version && (i.Nodes == 0 || uint64(i.LowestVersion) >= version):
-			current++
-		case i.Reachable && uint64(i.Version) >= version:
-			behind += i.Behind
-		default:
-			behind += i.Nodes
-		}
-		if !i.Reachable {
-			silent = append(silent, i.Instance)
-		}
-	}
-	line := fmt.Sprintf("version %d: on %d of %d instances with all their nodes; %d of %d nodes behind", version, current, len(s.Fleet), behind, nodes)
-	if len(silent) > 0 {
-		line += "; no answer from " + strings.Join(silent, ", ")
-	}
-	return line, current == len(s.Fleet)
-}
--- a/cmd/celeryyard/table.go
+++ b/cmd/celeryyard/table.go
@@ -139,10 +139,34 @@
 	if len(v.Fleet) == 0 {
 		return
 	}
-	fmt.Fprintln(w, "\nINSTANCE\tAZ\tREACHABLE\tLEADER\tVERSION\tAGE\tNODES\tBEHIND\tLOWEST")
+	fmt.Fprintln(w, "\nINSTANCE\tAZ\tREACHABLE\tLEADER\tVERSION\tAGE\tNODES\tBEHIND\tLOWEST\tUNSEEN")
 	for _, i := range v.Fleet {
-		fmt.Fprintf(w, "%s\t%s\t%t\t%t\t%d\t%d ms\t%d\t%d\t%d\n", i.Instance, i.AvailabilityZone, i.Reachable, i.Leader, i.Version, i.AgeMillis, i.Nodes, i.Behind, i.LowestVersion)
+		if !i.Reachable {
+			fmt.Fprintf(w, "%s\t%s\tfalse\t-\t-\t-\t-\t-\t-\t%d\n", i.Instance, i.AvailabilityZone, i.Unseen)
+			continue
+		}
+		age := "never"
+		if i.AgeMillis >= 0 {
+			age = fmt.Sprintf("%d ms", i.AgeMillis)
+		}
+		fmt.Fprintf(w, "%s\t%s\ttrue\t%t\t%d\t%s\t%d\t%d\t%d\t%d\n", i.Instance, i.AvailabilityZone, i.Leader, i.Version, age, i.Nodes, i.Behind, i.LowestVersion, i.Unseen)
+	}
+	for _, i := range v.Fleet {
+		if i.Behind > 0 {
+			fmt.Fprintf(w, "behind at %s: %s\n", i.Instance, names(i.BehindNodes, i.Behind))
+		}
+		if i.Unseen > 0 {
+			fmt.Fprintf(w, "last served by %s and seen nowhere: %s\n", i.Instance, names(i.UnseenNodes, i.Unseen))
+		}
+	}
+}
+
+// names joins the names of a list that may be cut to fewer than total.
+func names(list []string, total int) string {
+	if more := total - len(list); more > 0 {
+		return fmt.Sprintf("%s and %d more", strings.Join(list, ", "), more)
 	}
+	return strings.Join(list, ", ")
 }
 
 type routeView struct {
--- a/core/api/api.go
+++ b/core/api/api.go
@@ -104,7 +104,7 @@
 	AvailabilityZone string           `json:"availability_zone"`
 	Version          resource.Version `json:"version"`
 	// Reachable is false when the instance did not answer; the other fields but
-	// the names are then zero.
+	// the names and Unseen are then zero.
 	Reachable bool `json:"reachable"`
 	// AgeMillis is the age of the instance's last confirmation by the quorum; -1 for never.
 	AgeMillis int64 `json:"age_ms"`
@@ -115,6 +115,12 @@
 	// Behind counts connected nodes below Version; BehindNodes names at most 20 of them.
 	Behind      int      `json:"behind"`
 	BehindNodes []string `json:"behind_nodes,omitempty"`
+	// Unseen counts nodes with an upstream that this instance served last and that
+	// no instance that answered serves now; UnseenNodes names at most 20 of them.
+	// Nodes whose lease the instance itself has declared lost are left out. It is
+	// the only count that is also given for an instance that did not answer.
+	Unseen      int      `json:"unseen"`
+	UnseenNodes []string `json:"unseen_nodes,omitempty"`
 }
 
 // Fleet gathers the state of all control instances, provided by the plug-in
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -154,6 +154,15 @@
 	return d.table.set(service)
 }
 
+// ServedBy returns the nodes whose newest record is held by the named control
+// instance and was neither withdrawn nor declared lost by it, in rising order.
+// A node that has attached elsewhere since is not among them.
+func (d *Discovery) ServedBy(instance string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.servedBy(instance)
+}
+
 // Settled reports whether the sets are complete as far as this instance can
 // learn. Before that, nodes are better off with the sets that they hold.
 func (d *Discovery) Settled() bool {
--- a/plugin/discovery/table.go
+++ b/plugin/discovery/table.go
@@ -210,6 +210,19 @@
 	return lost > alive
 }
 
+// servedBy returns the nodes that the named owner has not declared lost. Doubts
+// of this instance alone do not remove a node.
+func (t *table) servedBy(owner string) []string {
+	var nodes []string
+	for node, r := range t.records {
+		if r.Owner == owner && !r.Lost && r.Endpoint.State != resource.StateGone {
+			nodes = append(nodes, node)
+		}
+	}
+	sort.Strings(nodes)
+	return nodes
+}
+
 // set returns the visible endpoints of a service in order of their nodes.
 func (t *table) set(service string) resource.EndpointSet {
 	keep := t.keepLost(service)
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -198,6 +198,33 @@
 	})
 }
 
+// Guards against a silent instance whose nodes are forgotten, and against nodes
+// that count as unseen although they have attached elsewhere.
+func TestStatusCountsUnseenNodesOfASilentInstance(t *testing.T) {
+	f := newFleet(t, "cant-a", "cant-b")
+	a, b := f.control(0, ""), f.control(1, "")
+	e := resource.Endpoint{Service: "catalogo", Incarnation: 1, Address: "127.0.0.1:1", Slots: 9, State: resource.StateReady}
+	announce := func(instance int, node string) {
+		r := f.rawNode(instance, node)
+		r.call(peerapi.NodeHello, &peerapi.Hello{Node: node, Services: []string{"*"}}, &peerapi.HelloReply{})
+		e.Node = node
+		r.call(peerapi.NodeAnnounce, &peerapi.Announce{Endpoint: e}, &peerapi.AnnounceReply{})
+	}
+	announce(0, "n1")
+	announce(0, "n2")
+	kerneltest.Wait(t, within, "records at the other instance", func() bool { return len(b.discovery.Set("catalogo").Endpoints) == 2 })
+	a.stop()
+	kerneltest.Wait(t, within, "silent instance", func() bool { return !status(t, b)[0].Reachable })
+	if s := status(t, b)[0]; s.Unseen != 2 {
+		t.Fatalf("status %+v, want 2 unseen nodes", s)
+	}
+	e.Incarnation = 2
+	announce(1, "n1")
+	if s := status(t, b)[0]; s.Unseen != 1 || s.UnseenNodes[0] != "n2" {
+		t.Fatalf("status %+v, want n2 unseen", s)
+	}
+}
+
 func status(t *testing.T, c *control) []api.InstanceStatus {
 	got := make(chan []api.InstanceStatus, 1)
 	c.distribution.Status(time.Second, func(s []api.InstanceStatus) { got <- s })
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -38,6 +38,8 @@
 // Discovery is what distribution uses of the plug-in "discovery".
 type Discovery interface {
 	api.Discovery
+	// ServedBy returns the nodes that the named instance was the last to serve.
+	ServedBy(instance string) []string
 	// Settled reports whether the endpoint sets are complete.
 	Settled() bool
 	// Spread calls done once announcements made so far have reached the watchers
--- a/plugin/distribution/status.go
+++ b/plugin/distribution/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,14 +13,15 @@
 	"github.com/celeryyard/celeryyard/core/rpc"
 )
 
-// maxBehindNames bounds the names of nodes behind in a status.
-const maxBehindNames = 20
+// maxNames bounds the names of nodes behind, or unseen, in a status.
+const maxNames = 20
 
 // Status implements api.Fleet.
 func (d *Distribution) Status(timeout time.Duration, done func([]api.InstanceStatus)) {
 	members := d.peer.Instances()
 	g := &gathering{out: make([]api.InstanceStatus, len(members)), left: len(members)}
 	g.done = func(list []api.InstanceStatus) {
+		d.fillSilent(list)
 		if d.c.Next("distribution/status", func() { done(list) }) != nil {
 			d.c.After(0, "distribution/status", func() { done(list) })
 		}
@@ -72,10 +74,23 @@
 	}
 }
 
+// fillSilent adds what this instance knows of the nodes of silent instances.
+func (d *Distribution) fillSilent(list []api.InstanceStatus) {
+	for i := range list {
+		if !list[i].Reachable {
+			setUnseen(&list[i], d.discovery.ServedBy(list[i].Instance))
+		}
+	}
+}
+
 func (d *Distribution) onStatus(_ *rpc.Conn, r *rpc.Request) {
 	r.Reply(&peerapi.Status{Status: d.own()})
 }
 
+func setUnseen(s *api.InstanceStatus, nodes []string) {
+	s.Unseen, s.UnseenNodes = len(nodes), nodes[:min(len(nodes), maxNames)]
+}
+
 // own returns the status of this instance.
 func (d *Distribution) own() api.InstanceStatus {
 	q, version := d.log.Status(), d.catalog.Version()
@@ -86,8 +101,10 @@
 	if !q.Confirmed.IsZero() {
 		s.AgeMillis = max(0, d.c.Clock.Now().Sub(q.Confirmed).Milliseconds())
 	}
+	served := d.discovery.ServedBy(s.Instance)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	setUnseen(&s, slices.DeleteFunc(served, func(node string) bool { return d.byNode[node] != nil }))
 	s.Nodes = len(d.byNode)
 	for i, node := range sortedKeys(d.byNode) {
 		e := d.byNode[node]
@@ -99,6 +116,6 @@
 			s.BehindNodes = append(s.BehindNodes, node)
 		}
 	}
-	s.BehindNodes = s.BehindNodes[:min(len(s.BehindNodes), maxBehindNames)]
+	s.BehindNodes = s.BehindNodes[:min(len(s.BehindNodes), maxNames)]
 	return s
 }
