--- a/cmd/celeryyard/main_test.go
+++ b/cmd/celeryyard/main_test.go
@@ -104,6 +104,7 @@
 	for _, args := range [][]string{
 		{"team", "put"}, {"team", "withdraw", "x"}, {"nonsense"}, {"status", "extra"}, {"status", "--timeout", "soon"},
 		{"status", "--server", "localhost:1"}, {"team", "put", "/no/such/file"}, {"explain"}, {"status", "--output", "xml"},
+		{"history", "--limit", "0"}, {"audit", "--limit", "1001"},
 	} {
 		o.run(2, args...)
 	}
--- a/cmd/celeryyard/read.go
+++ b/cmd/celeryyard/read.go
@@ -12,6 +12,9 @@
 	"github.com/celeryyard/celeryyard/kernel"
 )
 
+// maxPage is the limit of the servers for one page of records.
+const maxPage = 1000
+
 type statusFlags struct{}
 
 type idFlags struct {
@@ -22,7 +25,7 @@
 
 type pageFlags struct {
 	Before uint64 `long:"before" value-name:"N" description:"show records below this number"`
-	Limit  int    `long:"limit" value-name:"N" default:"50" description:"show at most this many records"`
+	Limit  int    `long:"limit" value-name:"N" default:"50" description:"show at most this many records, 1 to 1000"`
 }
 
 type explainFlags struct {
@@ -66,6 +69,9 @@
 func records(path string) func(context.Context, *app, any) error {
 	return func(ctx context.Context, a *app, options any) error {
 		o := options.(*pageFlags)
+		if o.Limit < 1 || o.Limit > maxPage {
+			return exitf(kernel.ExitUsage, "--limit: %d is not in 1..%d", o.Limit, maxPage)
+		}
 		return read[recordsView](ctx, a, fmt.Sprintf("%s?before=%d&limit=%d", path, o.Before, o.Limit))
 	}
 }
