--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -90,6 +90,27 @@
 	return k.pool.Stop(context.Background())
 }
 
+// CheckFiles runs the checks of all plug-ins on what their settings name.
+func CheckFiles(o Options) error {
+	k, sections, err := decode(o)
+	if err != nil {
+		return err
+	}
+	k.cancel()
+	if err := k.pool.Stop(context.Background()); err != nil {
+		return err
+	}
+	for i, r := range k.order {
+		if r.Check == nil {
+			continue
+		}
+		if err := r.Check(&k.instance, sections[i]); err != nil {
+			return o.Settings.Locate(err)
+		}
+	}
+	return nil
+}
+
 func decode(o Options) (*Kernel, []any, error) {
 	order, err := startOrder(o.Plugins)
 	if err != nil {
--- a/kernel/program.go
+++ b/kernel/program.go
@@ -80,11 +80,11 @@
 		return ExitUsage
 	}
 	o := Options{Plugins: plugins, Settings: file, Log: os.Stderr, Bootstrap: f.Bootstrap}
+	if err := CheckFiles(o); err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return ExitUsage
+	}
 	if f.CheckConfig {
-		if err := Check(o); err != nil {
-			fmt.Fprintf(stderr, "%s: %v\n", name, err)
-			return ExitUsage
-		}
 		fmt.Fprintf(stdout, "%s: settings are valid\n", f.Settings)
 		return ExitOK
 	}
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -36,6 +36,10 @@
 	// Settings returns a pointer to a new struct with the default settings; nil
 	// when the plug-in has none.
 	Settings func() any
+	// Check looks at what lies outside the plug-in's section, such as files that the
+	// settings name. It returns a settings.FieldError whose field starts with the
+	// section, or nil. A nil Check finds nothing wrong.
+	Check func(in *Instance, settings any) error
 	// New builds the plug-in. It opens nothing and starts no goroutine.
 	New func(c *Context) (Plugin, error)
 }
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -147,7 +147,7 @@
 	err := val.Validate()
 	var fe *FieldError
 	if errors.As(err, &fe) {
-		return errors.Newf("%s:%d: %s/%s: %s", f.name, f.fieldLine(section, fe.Field), section, fe.Field, fe.Reason)
+		return f.Locate(Invalid(section+"/"+fe.Field, "%s", fe.Reason))
 	}
 	if err != nil {
 		return errors.Wrapf(err, "%s:%d: %s", f.name, f.Line(section), section)
@@ -155,6 +155,16 @@
 	return nil
 }
 
+// Locate adds file and line to a FieldError whose field starts with a section.
+func (f *File) Locate(err error) error {
+	var fe *FieldError
+	if !errors.As(err, &fe) {
+		return errors.Wrap(err, f.name)
+	}
+	section, field, _ := strings.Cut(fe.Field, "/")
+	return errors.Newf("%s:%d: %s: %s", f.name, f.fieldLine(section, field), fe.Field, fe.Reason)
+}
+
 func (f *File) decodeError(section string, err error) error {
 	var sem *json.SemanticError
 	if !errors.As(err, &sem) {
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -119,27 +119,34 @@
 }
 
 func (o *Operator) loadTokens() error {
-	f, err := settings.Load(o.s.TokensFile)
+	t, entries, err := readTokens(o.s.TokensFile)
 	if err != nil {
-		return errors.Wrap(err, "tokens file")
+		return err
+	}
+	o.tokens, o.shares = t, map[string]*share{}
+	for _, e := range entries {
+		o.shares[e.Organisation] = newShare(o.s)
+	}
+	return nil
+}
+
+// readTokens reads and checks a tokens file.
+func readTokens(path string) (*tokens, []tokenEntry, error) {
+	f, err := settings.Load(path)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "tokens file")
 	}
 	if err := f.Unknown(map[string]bool{"operators": true}); err != nil {
-		return err
+		return nil, nil, err
 	}
 	var entries []tokenEntry
 	if err := f.Decode("operators", &entries); err != nil {
-		return err
+		return nil, nil, err
 	}
 	key := make([]byte, 32)
 	if _, err := rand.Read(key); err != nil {
-		return errors.Wrap(err, "key for token hashes")
-	}
-	if o.tokens, err = newTokens(key, entries); err != nil {
-		return errors.Wrapf(err, "%s: operators", o.s.TokensFile)
+		return nil, nil, errors.Wrap(err, "key for token hashes")
 	}
-	o.shares = map[string]*share{}
-	for _, e := range entries {
-		o.shares[e.Organisation] = newShare(o.s)
-	}
-	return nil
+	t, err := newTokens(key, entries)
+	return t, entries, errors.Wrapf(err, "%s: operators", path)
 }
--- a/plugin/operator/setup.go
+++ b/plugin/operator/setup.go
@@ -23,6 +23,14 @@
 				ChangeBurst:     500,
 			}
 		},
+		Check: func(_ *kernel.Instance, s any) error {
+			if o := s.(*Settings); o.Listen != "" {
+				if _, _, err := readTokens(o.TokensFile); err != nil {
+					return settings.Invalid("operator/tokens_file", "%v", err)
+				}
+			}
+			return nil
+		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newOperator(c), nil },
 	})
 }
--- a/plugin/peer/setup.go
+++ b/plugin/peer/setup.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/celeryyard/celeryyard/core/rpc"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/settings"
 )
@@ -18,6 +19,12 @@
 				MaxConns:   4096,
 			}
 		},
+		Check: func(in *kernel.Instance, _ any) error {
+			if _, err := rpc.LoadKey(in.FleetKeyFile); err != nil {
+				return settings.Invalid("instance/fleet_key_file", "%v", err)
+			}
+			return nil
+		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newPeer(c) },
 	})
 }
--- a/plugin/quorum/setup.go
+++ b/plugin/quorum/setup.go
@@ -19,6 +19,12 @@
 				SnapshotEntries: 10000, SnapshotBytes: 64 << 20, KeepEntries: 2000,
 			}
 		},
+		Check: func(in *kernel.Instance, s any) error {
+			if in.DataFolder == "" && slices.Contains(s.(*Settings).Voters, in.Name) {
+				return settings.Invalid("instance/data_folder", "%q is listed in quorum/voters and needs one", in.Name)
+			}
+			return nil
+		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newQuorum(c) },
 	})
 }
