quorum: a silent voter that is not listed any more is removed

Cause: an instance that replaced a voter under another name was promoted, but the replaced one kept its vote for ever: after control-zd replaced the stopped control-zc, "celeryyard status" showed four voters, so a majority was three and the group tolerated one loss less than meant. Change: the leader removes a voter that is missing in its quorum/voters, once that voter is silent and every listed instance is a live voter; one voter a change, never the leader itself. Seen: TestSilentVoterThatIsNotListedIsRemoved fails without the rule.

--- a/plugin/quorum/raft/membership.go
+++ b/plugin/quorum/raft/membership.go
@@ -16,7 +16,8 @@
 // NextChange decides the next membership change of the leader, one at a time:
 // instances that asked to join become learners, in place of older learners of
 // the same name; a learner of a listed voter that has caught up takes the place
-// of the silent voter of the same name, by its removal and then the promotion.
+// of the silent voter of the same name, by its removal and then the promotion. A
+// silent voter that is not listed any more is removed once all listed ones vote.
 func NextChange(config replog.Config, listed []string, joins []replog.Member, commit uint64, progress map[replog.MemberID]MemberProgress) (Change, bool) {
 	for _, j := range joins {
 		if _, ok := config.Find(j.ID); ok {
@@ -45,6 +46,25 @@
 			return Change{config.Without(old.ID), "remove voter", old}, true
 		}
 	}
+	return replacedVoter(config, listed, progress)
+}
+
+// replacedVoter returns the removal of a silent voter that is not listed, so
+// that an instance replaced by one of another name does not count for majorities
+// for ever. The leader has no progress of its own and is never removed.
+func replacedVoter(config replog.Config, listed []string, progress map[replog.MemberID]MemberProgress) (Change, bool) {
+	for _, name := range listed {
+		m, exists := voterNamed(config, name)
+		if p, other := progress[m.ID]; !exists || other && !p.Active {
+			return Change{}, false
+		}
+	}
+	for _, m := range config.Members {
+		p, other := progress[m.ID]
+		if m.Voter && other && !p.Active && !slices.Contains(listed, m.Name) {
+			return Change{config.Without(m.ID), "remove voter", m}, true
+		}
+	}
 	return Change{}, false
 }
 
@@ -63,7 +83,7 @@
 		return true
 	}
 	for _, m := range config.Members {
-		if !m.Voter && slices.Contains(listed, m.Name) {
+		if m.Voter != slices.Contains(listed, m.Name) {
 			return true
 		}
 	}
--- a/plugin/quorum/raft/membership_test.go
+++ b/plugin/quorum/raft/membership_test.go
@@ -46,6 +46,35 @@
 	}
 }
 
+// Guards against a voter replaced by an instance of another name that keeps its
+// vote, and against the removal of a voter that is listed, alive or the leader.
+func TestSilentVoterThatIsNotListedIsRemoved(t *testing.T) {
+	config := groupOf(4)
+	alive, silent := MemberProgress{Match: 10, Active: true}, MemberProgress{Match: 10}
+	for _, tc := range []struct {
+		name    string
+		listed  []string
+		b, c, d MemberProgress
+		want    replog.MemberID
+	}{
+		{"replaced and silent", []string{"a", "b", "d"}, alive, silent, alive, 3},
+		{"replaced and alive", []string{"a", "b", "d"}, alive, alive, alive, 0},
+		{"listed voter is silent too", []string{"a", "b", "d"}, silent, silent, alive, 0},
+		{"listed voter has no vote yet", []string{"a", "b", "e"}, alive, silent, alive, 0},
+		{"all are listed", []string{"a", "b", "c", "d"}, alive, silent, alive, 0},
+		{"leader is not listed", []string{"b", "c", "d"}, alive, alive, alive, 0},
+	} {
+		progress := map[replog.MemberID]MemberProgress{2: tc.b, 3: tc.c, 4: tc.d} // member 1 leads
+		c, ok := NextChange(config, tc.listed, nil, 10, progress)
+		if ok != (tc.want != 0) || c.Member.ID != tc.want {
+			t.Errorf("%s: %+v, want the removal of member %d", tc.name, c, tc.want)
+		}
+		if ok && (!MayChange(&config, tc.listed, 0) || votersChanged(&config, &c.Config) != 1) {
+			t.Errorf("%s: %+v is not proposed as one change of a voter", tc.name, c)
+		}
+	}
+}
+
 // Guards against an instance that lost its disk several times and whose old
 // identities take turns as learners, so that none ever catches up.
 func TestOnlyTheNewestJoinOfAnInstanceCounts(t *testing.T) {
