--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -105,8 +105,9 @@
 	if t.resync {
 		method, t.resync = peerapi.DiscoverySync, false
 		m.Records, m.Others = d.table.full(t.name)
+		m.Settled = d.settled
 	} else {
-		m.Records = d.table.own(t.dirty)
+		m.Records = d.table.of(t.dirty)
 	}
 	clear(t.dirty)
 	conn, gen := t.conn, d.gen
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -17,6 +17,7 @@
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/rank"
+	"github.com/celeryyard/celeryyard/kernel/settings"
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/trace"
 )
@@ -153,6 +154,15 @@
 	return d.table.set(service)
 }
 
+// ServedBy returns the nodes whose newest record is held by the named control
+// instance and was neither withdrawn nor declared lost by it, in rising order.
+// A node that has attached elsewhere since is not among them.
+func (d *Discovery) ServedBy(instance string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.servedBy(instance)
+}
+
 // Settled reports whether the sets are complete as far as this instance can
 // learn. Before that, nodes are better off with the sets that they hold.
 func (d *Discovery) Settled() bool {
@@ -223,6 +233,7 @@
 	now := d.c.Clock.Now()
 	d.mu.Lock()
 	if late := now.Sub(d.swept) - d.s.Heartbeat.D(); late > 0 {
+		d.trace.Record("discovery", "pause", now, "", settings.Duration(late))
 		d.table.pause(late)
 	}
 	d.swept = now
