--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -252,3 +252,36 @@
 	pages, _ := strconv.ParseFloat(f[1], 64)
 	return pages * float64(os.Getpagesize()) / (1 << 20)
 }
+
+// CPU returns the processor time used by the process, 0 after its end.
+func (p *Process) CPU() time.Duration {
+	if !p.Running() {
+		return 0
+	}
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	// The name of the program, in parentheses, may contain spaces; utime and stime
+	// are the 12th and 13th fields after it, in ticks of 10 ms.
+	_, rest, _ := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// Files returns the number of open file descriptors, 0 after the end.
+func (p *Process) Files() int {
+	if !p.Running() {
+		return 0
+	}
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(list)
+}
