--- a/plugin/catalog/plugin.go
+++ b/plugin/catalog/plugin.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/rs/zerolog"
 
 	"github.com/celeryyard/celeryyard/core/api"
@@ -18,6 +20,7 @@
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
+	"github.com/celeryyard/celeryyard/plugin/trace"
 )
 
 var (
@@ -38,6 +41,7 @@
 type Catalog struct {
 	c        *kernel.Context
 	log      api.Log
+	trace    *trace.Trace
 	watchers []func(resource.Version)
 
 	accepted, refused *metrics.Counter
@@ -45,13 +49,15 @@
 	// mu guards the replicated state.
 	mu *rank.RWMutex
 	s  *state
-	// notifying tells that a notification is queued and not yet running.
-	notifying bool
+
+	// notifying tells that a notification is queued and not yet running. It stands
+	// outside mu, so that a long Snapshot does not hold up notifications.
+	notifying atomic.Bool
 }
 
 func newCatalog(c *kernel.Context) *Catalog {
 	t := &Catalog{
-		c: c, log: kernel.Use[api.Log](c, "quorum"), mu: rank.NewRW(rank.Catalog), s: newState(),
+		c: c, log: kernel.Use[api.Log](c, "quorum"), trace: trace.Of(c), mu: rank.NewRW(rank.Catalog), s: newState(),
 		accepted: c.Metrics.NewCounter("celeryyard_catalog_accepted_total"),
 		refused:  c.Metrics.NewCounter("celeryyard_catalog_refused_total"),
 	}
@@ -73,6 +79,7 @@
 
 // Apply implements api.StateMachine. The result is a change.Outcome.
 func (t *Catalog) Apply(index uint64, data []byte) any {
+	t.trace.Record("catalog", "entry", t.c.Clock.Now(), "", jsontext.Value(data))
 	e, err := decodeEntry(data)
 	if err != nil {
 		t.c.Log.Log(evMalformed).Uint("index", index).Err(err).Send()
@@ -146,11 +153,7 @@
 
 // notify queues a notification of the watchers unless one is queued already.
 func (t *Catalog) notify() {
-	t.mu.Lock()
-	queued := t.notifying
-	t.notifying = true
-	t.mu.Unlock()
-	if queued {
+	if t.notifying.Swap(true) {
 		return
 	}
 	if err := t.c.Next(watchKey, t.callWatchers); errors.Is(err, pool.ErrFull) {
@@ -159,16 +162,14 @@
 }
 
 func (t *Catalog) callWatchers() {
-	t.mu.Lock()
-	t.notifying = false
-	v := t.s.version
-	t.mu.Unlock()
+	t.notifying.Store(false) // before the version is read, so that no rise is missed
+	v := t.Version()
 	for _, f := range t.watchers {
 		f(v)
 	}
 }
 
-// Submit proposes a change that passes its Check. done is called once, in a job,
+// Submit proposes a change that passes Change.Decode. done is called once, in a job,
 // with the decision, or with an error that carries a verdict; the verdict is
 // about this attempt only, because an earlier one with the same ID may still be
 // decided.
