experiment: programs come from the role packages again

Cause: settings/plugins became json:"-", and the command hands its settings over as JSON, so experiments ran kernels without plug-ins. Change: role/load sets experiment.Programs in its init function.

--- a/cmd/celeryyard-load/main.go
+++ b/cmd/celeryyard-load/main.go
@@ -12,10 +12,7 @@
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/plugin/experiment"
 	"github.com/celeryyard/celeryyard/plugin/load"
-	"github.com/celeryyard/celeryyard/role/control"
 	loadrole "github.com/celeryyard/celeryyard/role/load"
-	"github.com/celeryyard/celeryyard/role/node"
-	"github.com/celeryyard/celeryyard/role/upstream"
 )
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -30,12 +27,8 @@
 	_, err := p.AddCommand("run", "generate load and check every answer", "",
 		&load.Command{Plugins: loadrole.Plugins(), Stdout: stdout})
 	if err == nil {
-		_, err = p.AddCommand("experiment", "measure the system; all scenarios unless some are named", "", &experiment.Command{
-			Plugins: experiment.Plugins{
-				Control: control.Plugins(), Node: node.Plugins(), Upstream: upstream.Plugins(), Load: loadrole.Plugins(),
-			},
-			Stdout: stdout,
-		})
+		_, err = p.AddCommand("experiment", "measure the system; all scenarios unless some are named", "",
+			&experiment.Command{Stdout: stdout})
 	}
 	if err == nil {
 		_, err = p.ParseArgs(args)
--- a/plugin/experiment/command.go
+++ b/plugin/experiment/command.go
@@ -26,9 +26,8 @@
 	Args     struct {
 		Scenarios []string `positional-arg-name:"SCENARIO"`
 	} `positional-args:"true"`
-	// Plugins and Stdout are set by the program.
-	Plugins Plugins   `no-flag:"true"`
-	Stdout  io.Writer `no-flag:"true"`
+	// Stdout is set by the program.
+	Stdout io.Writer `no-flag:"true"`
 }
 
 // Execute implements flags.Commander.
@@ -100,7 +99,6 @@
 )
 
 func (c *Command) override(s *Settings) error {
-	s.Plugins = c.Plugins
 	if len(c.Args.Scenarios) > 0 {
 		s.Scenarios = c.Args.Scenarios
 	}
--- a/plugin/experiment/experiment_test.go
+++ b/plugin/experiment/experiment_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
 	"github.com/celeryyard/celeryyard/plugin/experiment"
-	"github.com/celeryyard/celeryyard/role"
+	loadrole "github.com/celeryyard/celeryyard/role/load"
 )
 
 // Guards against scenarios that no longer run against the rest of the system.
@@ -19,13 +19,12 @@
 		"experiment": map[string]any{
 			"scenarios": experiment.Names(), "nodes": []int{4, 6}, "changes": 3, "missed": 5, "duration": "300ms",
 			"rates": []float64{50}, "depth": 3, "coalesce": []string{"0s"}, "folder": t.TempDir(),
-			"plugins": experiment.Plugins{Control: role.Control(), Node: role.Node(), Upstream: role.Upstream(), Load: role.Load()},
 		},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	k, _ := kerneltest.Start(t, role.Experiment(), string(text), false)
+	k, _ := kerneltest.Start(t, loadrole.Experiment(), string(text), false)
 	x := k.Service("experiment").(*experiment.Experiment)
 	select {
 	case <-x.Done():
--- a/plugin/experiment/fleet.go
+++ b/plugin/experiment/fleet.go
@@ -132,7 +132,7 @@
 
 func (f *fleet) startAll(o fleetOptions) error {
 	for i, p := range f.plan.Controls {
-		c, err := f.e.process(p.Name, f.e.s.Plugins.Control, p.Settings)
+		c, err := f.e.process(p.Name, Programs.Control, p.Settings)
 		if err != nil {
 			return err
 		}
@@ -142,7 +142,7 @@
 		}
 	}
 	for i, p := range f.plan.Nodes {
-		n, err := f.e.process(p.Name, f.e.s.Plugins.Node, p.Settings)
+		n, err := f.e.process(p.Name, Programs.Node, p.Settings)
 		if err != nil {
 			return err
 		}
@@ -155,7 +155,7 @@
 		return nil
 	}
 	for _, p := range f.plan.Upstreams {
-		u, err := f.e.process(p.Name, f.e.s.Plugins.Upstream, p.Settings)
+		u, err := f.e.process(p.Name, Programs.Upstream, p.Settings)
 		if err != nil {
 			return err
 		}
--- a/plugin/experiment/loadrun.go
+++ b/plugin/experiment/loadrun.go
@@ -19,7 +19,7 @@
 	if section["duration"] == nil {
 		section["duration"] = e.s.Duration
 	}
-	p, err := e.process(name, e.s.Plugins.Load, map[string]any{
+	p, err := e.process(name, Programs.Load, map[string]any{
 		"instance": map[string]any{"name": name, "log_level": "error"}, "load": section,
 	})
 	if err != nil {
--- a/plugin/experiment/setup.go
+++ b/plugin/experiment/setup.go
@@ -43,11 +43,12 @@
 	// Coalesce lists the settings of distribution/coalesce that are compared; the
 	// first is the baseline.
 	Coalesce []settings.Duration `json:"coalesce"`
-	// Plugins lists the plug-ins of the kernels that an experiment runs. The
-	// program fills them in from package role.
-	Plugins Plugins `json:"-"`
 }
 
+// Programs lists the plug-ins of the kernels that an experiment runs. The
+// package of the program's role sets it in an init function.
+var Programs Plugins
+
 // Plugins lists plug-ins by program.
 type Plugins struct {
 	Control, Node, Upstream, Load []string
--- a/role/load/load.go
+++ b/role/load/load.go
@@ -2,10 +2,19 @@
 package load
 
 import (
-	_ "github.com/celeryyard/celeryyard/plugin/experiment" // registers itself
-	_ "github.com/celeryyard/celeryyard/plugin/load"       // registers itself
+	"github.com/celeryyard/celeryyard/plugin/experiment"
+	_ "github.com/celeryyard/celeryyard/plugin/load" // registers itself
+	"github.com/celeryyard/celeryyard/role/control"
+	"github.com/celeryyard/celeryyard/role/node"
+	"github.com/celeryyard/celeryyard/role/upstream"
 )
 
+func init() {
+	experiment.Programs = experiment.Plugins{
+		Control: control.Plugins(), Node: node.Plugins(), Upstream: upstream.Plugins(), Load: Plugins(),
+	}
+}
+
 // Plugins lists the plug-ins of a load run.
 func Plugins() []string { return []string{"load"} }
 
