--- a/plugin/experiment/fleet.go
+++ b/plugin/experiment/fleet.go
@@ -52,6 +52,10 @@
 // nodes serve them. The caller calls stop, also after an error.
 func newFleet(e *env, o fleetOptions) (*fleet, error) {
 	f := &fleet{e: e, relays: map[string]*relay.Relay{}, timeouts: 5000}
+	if o.node == nil {
+		// Without callers no call is on its way when a node stops.
+		o.node = map[string]map[string]any{"announce": {"linger": "50ms"}}
+	}
 	services := o.services
 	if services == nil {
 		_, services = layout.Current()
--- a/plugin/experiment/setup.go
+++ b/plugin/experiment/setup.go
@@ -38,6 +38,9 @@
 	// its chain of calls.
 	Rates []float64 `json:"rates"`
 	Depth int       `json:"depth"`
+	// Overload lists the loads of the overload scenario in multiples of the slots;
+	// 0 runs the other organisation alone.
+	Overload []float64 `json:"overload"`
 	// Folder takes temporary files; empty means the system's folder for them.
 	Folder string `json:"folder"`
 	// Coalesce lists the settings of distribution/coalesce that are compared; the
@@ -58,6 +61,7 @@
 	return &Settings{
 		Seed: 1, Nodes: []int{9, 60}, Changes: 50, Missed: 300, Duration: settings.Duration(5 * time.Second),
 		Rates: []float64{100, 1000}, Depth: 18,
+		Overload: []float64{0, 0.5, 1, 2, 4},
 		Coalesce: []settings.Duration{0, settings.Duration(50 * time.Millisecond)},
 	}
 }
