--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -107,7 +107,7 @@
 		m.Records, m.Others = d.table.full(t.name)
 		m.Settled = d.settled
 	} else {
-		m.Records = d.table.own(t.dirty)
+		m.Records = d.table.of(t.dirty)
 	}
 	clear(t.dirty)
 	conn, gen := t.conn, d.gen
