--- a/plugin/experiment/commit.go
+++ b/plugin/experiment/commit.go
@@ -18,7 +18,10 @@
 // commitRate measures how many changes a second a quorum of three disks accepts,
 // from one operator after another and from several at a time.
 func commitRate(e *env) error {
-	f, err := newFleet(e, fleetOptions{nodes: 3})
+	// The journal is measured, not the bound of changes for each organisation.
+	f, err := newFleet(e, fleetOptions{nodes: 3, control: map[string]map[string]any{
+		"operator": {"change_rate": 1e6, "change_burst": 1_000_000},
+	}})
 	defer func() { _ = f.stop() }()
 	if err != nil {
 		return err
@@ -62,12 +65,13 @@
 	}
 	wg.Wait()
 	seconds := time.Since(started).Seconds()
-	changes, h, last := 0, load.Histogram(), resource.Version(0)
+	changes, resends, h, last := 0, 0, load.Histogram(), resource.Version(0)
 	for i, c := range list {
 		if errs[i] != nil {
 			return errs[i]
 		}
 		changes += c.changes
+		resends += c.ops.resends
 		h.Merge(c.durations)
 		last = max(last, c.ops.version)
 	}
@@ -75,6 +79,7 @@
 	f.e.add(kase, "3 voters", "accepted changes", float64(changes)/seconds, "1/s", 0, changes)
 	f.e.add(kase, "3 voters", "time of a change p50", q.P50, "ms", 0, changes)
 	f.e.add(kase, "3 voters", "time of a change p99", q.P99, "ms", 0, changes)
+	f.e.add(kase, "3 voters", "attempts without a decision", percent(resends, changes), "% of changes", 0, changes)
 	return f.converge(last, convergeLimit)
 }
 
--- a/plugin/experiment/operators.go
+++ b/plugin/experiment/operators.go
@@ -28,6 +28,10 @@
 	// revisions holds the revision of each object, version the last accepted one.
 	revisions map[string]uint64
 	version   resource.Version
+	// resends counts attempts without a decision, last says why the latest one
+	// had none.
+	resends int
+	last    error
 }
 
 func newOperators(f *layout.Fleet) *operators {
@@ -84,6 +88,8 @@
 			last = errors.Newf("undecided: %s", d.Text)
 		}
 		o.next++
+		o.resends++
+		o.last = last
 		if err := e.sleep(20 * time.Millisecond); err != nil {
 			return err
 		}
