quorum: bound unanswered bytes, confirm by barriers, more proofs

Cause: 32 unanswered appends of 1 MiB could exceed the 32 MiB that may wait on a connection; a learner's age stayed unknown for up to 1.2 s although a barrier had proved it current (seen as a flaky test); some mechanisms had no test that failed without them.

--- a/plugin/quorum/barrier.go
+++ b/plugin/quorum/barrier.go
@@ -22,6 +22,9 @@
 type barrier struct {
 	deadline raft.Instant
 	done     func(error)
+	// asked is when the leader was asked; everything committed before it is at or
+	// below index.
+	asked raft.Instant
 	// index is the position to be applied; 0 before the leader has told it.
 	index uint64
 }
@@ -69,6 +72,9 @@
 		return
 	}
 	b.last++
+	for _, w := range b.waiting {
+		w.asked = now
+	}
 	b.groups[b.last] = &readGroup{local: b.waiting, remote: b.remote}
 	b.waiting, b.remote = nil, nil
 	_ = q.core.ReadIndex(now, b.last) // fails only on a member that is not the leader
@@ -94,6 +100,7 @@
 	left := raft.Instant(0)
 	for _, w := range group {
 		left = max(left, w.deadline-now)
+		w.asked = now
 	}
 	// An unanswered request must not hold up the barriers that come after it.
 	left = min(left, 2*raft.Instant(q.s.ElectionTimeout.D()))
@@ -166,6 +173,7 @@
 			kept = append(kept, w)
 			continue
 		}
+		q.core.Confirm(w.asked)
 		q.call(func() { w.done(nil) })
 	}
 	clear(q.barriers.indexed[len(kept):])
--- a/plugin/quorum/bench_test.go
+++ b/plugin/quorum/bench_test.go
@@ -62,6 +62,7 @@
 	g.start("d", false)
 	g.propose("d", "first")
 	var all []time.Duration
+	b.ResetTimer()
 	for i := range b.N {
 		begin := time.Now()
 		text := fmt.Sprint("entry", i)
--- /dev/null
+++ b/plugin/quorum/disk_test.go
@@ -0,0 +1,45 @@
+package quorum
+
+import (
+	"testing"
+
+	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/plugin/journal"
+	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
+)
+
+// recorder keeps the batches written to the journal.
+type recorder struct{ batches []journal.Batch }
+
+func (r *recorder) Save(b journal.Batch) error {
+	r.batches = append(r.batches, b)
+	return nil
+}
+
+func (r *recorder) SaveSnapshot(replog.Snapshot, bool) error {
+	r.batches = append(r.batches, journal.Batch{})
+	return nil
+}
+
+func (r *recorder) LoadSnapshot() (replog.Snapshot, error) { return replog.Snapshot{}, nil }
+
+// Guards against a crash between the writes of a received snapshot: the commit
+// index of the leader must not be on disk together with the old log, whose
+// entries up to it may differ, and the term must not be older than the snapshot.
+func TestCommitIndexIsWrittenAfterTheSnapshot(t *testing.T) {
+	r := &recorder{}
+	q := &Quorum{journal: r}
+	save := &raft.Save{Hard: replog.HardState{Term: 5, Vote: 2, Commit: 9}, Snapshot: &replog.Snapshot{Index: 9, Term: 4}}
+	if err := q.write(&diskQueue{save: save, commit: 3}, save.Hard); err != nil {
+		t.Fatal(err)
+	}
+	if len(r.batches) != 3 {
+		t.Fatalf("%d writes, want term, snapshot and hard state", len(r.batches))
+	}
+	if first := r.batches[0].Hard; first.Commit != 3 || first.Term != 5 || first.Vote != 2 {
+		t.Fatalf("written before the snapshot: %+v", first)
+	}
+	if last := r.batches[2].Hard; last.Commit != 9 {
+		t.Fatalf("written after the snapshot: %+v", last)
+	}
+}
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -45,6 +45,10 @@
 // tickInterval is the resolution of all timeouts.
 const tickInterval = 40 * time.Millisecond
 
+// inflightBytes keeps a follower that is far behind below the 32 MiB that may
+// wait on one connection, which would otherwise be closed as too slow.
+const inflightBytes = 4 << 20
+
 // Keys of the jobs.
 const (
 	pumpKey  = "quorum"
@@ -52,16 +56,25 @@
 	applyKey = "quorum/apply"
 )
 
+// disk is the part of the journal that the disk job uses.
+type disk interface {
+	Save(journal.Batch) error
+	SaveSnapshot(s replog.Snapshot, reset bool) error
+	LoadSnapshot() (replog.Snapshot, error)
+}
+
 // Quorum is the plug-in; it implements api.Log.
 type Quorum struct {
 	c       *kernel.Context
 	s       *Settings
-	journal *journal.Journal
-	peer    *peer.Peer
-	machine api.StateMachine
-	member  replog.MemberID
-	begin   time.Time
-	metrics counters
+	journal disk
+	// recovered returns what the journal recovered, once.
+	recovered func() journal.State
+	peer      *peer.Peer
+	machine   api.StateMachine
+	member    replog.MemberID
+	begin     time.Time
+	metrics   counters
 
 	// mu guards everything below. No call out of the package is made while it is
 	// held, except to the pool.
@@ -104,13 +117,13 @@
 }
 
 func newQuorum(c *kernel.Context) (*Quorum, error) {
+	j := kernel.Use[*journal.Journal](c, "journal")
 	q := &Quorum{
-		c: c, s: c.Settings.(*Settings), mu: rank.New(rank.Quorum),
-		journal: kernel.Use[*journal.Journal](c, "journal"), peer: kernel.Use[*peer.Peer](c, "peer"),
+		c: c, s: c.Settings.(*Settings), mu: rank.New(rank.Quorum), journal: j, recovered: j.Recovered, peer: kernel.Use[*peer.Peer](c, "peer"),
 		names: map[replog.MemberID]string{}, machine: nullMachine{},
 		sending: map[replog.MemberID]bool{},
 	}
-	if q.listed() && !q.journal.Durable() {
+	if q.listed() && !j.Durable() {
 		return nil, errors.Newf("instance %q is listed as a voter but has no data folder", c.Instance.Name)
 	}
 	q.proposals.init(randomID())
@@ -161,7 +174,7 @@
 // and connects to the other instances.
 func (q *Quorum) Start(context.Context) error {
 	q.begin = q.c.Clock.Now()
-	r := q.journal.Recovered()
+	r := q.recovered()
 	if r.Member == 0 {
 		r.Member = replog.MemberID(randomID())
 		if err := q.journal.Save(journal.Batch{Member: r.Member}); err != nil {
@@ -196,7 +209,7 @@
 	q.member = r.Member
 	q.core = raft.New(raft.Options{
 		ID: r.Member, Election: raft.Instant(q.s.ElectionTimeout.D()), Heartbeat: heartbeat, LearnerHeartbeat: 3 * heartbeat,
-		MaxBatchBytes: 1 << 20, MaxInflight: 32, MaxUncommitted: 64 << 20, Rand: rng,
+		MaxBatchBytes: 1 << 20, MaxInflight: 32, MaxInflightBytes: inflightBytes, MaxUncommitted: 64 << 20, Rand: rng,
 	}, raft.Recovered{Hard: r.Hard, Snapshot: r.Snapshot, Entries: r.Entries}, q.now())
 	q.disk.commit = r.Hard.Commit
 	q.disk.released = resource.Version(r.Released)
--- a/plugin/quorum/quorum_test.go
+++ b/plugin/quorum/quorum_test.go
@@ -37,6 +37,7 @@
 	kernel *kernel.Kernel
 	mu     sync.Mutex
 	list   []string
+	slow   time.Duration // time that each entry takes
 }
 
 func (m *machine) Start(context.Context) error { return nil }
@@ -45,6 +46,7 @@
 func (m *machine) Apply(_ uint64, data []byte) any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	time.Sleep(m.slow)
 	m.list = append(m.list, string(data))
 	return len(m.list)
 }
@@ -189,6 +191,7 @@
 	t.Parallel()
 	g := startVoters(t, "", "a", "b", "c", "d")
 	g.start("d", false)
+	g.mach["b"].slow = 20 * time.Millisecond // its barriers have something to wait for
 	want := ""
 	for i, n := range []string{"a", "b", "c", "d", "a"} {
 		text := fmt.Sprint(i)
--- a/plugin/quorum/raft/core.go
+++ b/plugin/quorum/raft/core.go
@@ -240,7 +240,9 @@
 // proved to have been current. It is false before the first confirmation.
 func (c *Core) Confirmed() (Instant, bool) { return c.confirmed, c.known }
 
-func (c *Core) confirm(at Instant) {
+// Confirm records that the commit index known here was current at the instant,
+// as a linearizable read that was asked for then has proved.
+func (c *Core) Confirm(at Instant) {
 	if !c.known || at > c.confirmed {
 		c.confirmed, c.known = at, true
 	}
--- a/plugin/quorum/raft/follow.go
+++ b/plugin/quorum/raft/follow.go
@@ -37,7 +37,7 @@
 // commit index that came with it.
 func (c *Core) hearEcho(m Message) {
 	if m.Echo != 0 && c.log.commit >= m.Commit {
-		c.confirm(m.Echo)
+		c.Confirm(m.Echo)
 	}
 }
 
@@ -167,7 +167,7 @@
 	}
 	if ok {
 		p.next = max(p.pendingSnapshot, p.match) + 1
-		p.flow, p.inflight = probe, nil
+		p.flow, p.inflight, p.bytes = probe, nil, 0
 	} else {
 		p.toProbe()
 	}
--- a/plugin/quorum/raft/lead.go
+++ b/plugin/quorum/raft/lead.go
@@ -136,7 +136,7 @@
 			return
 		}
 		var entries []replog.Entry
-		if len(p.inflight) < c.o.MaxInflight {
+		if len(p.inflight) < c.o.MaxInflight && p.bytes < c.o.MaxInflightBytes {
 			entries = c.log.slice(p.next, c.log.last(), c.o.MaxBatchBytes)
 		}
 		probing := p.flow == probe
@@ -154,7 +154,12 @@
 			return
 		}
 		p.next += uint64(len(entries))
-		p.inflight = append(p.inflight, p.next-1)
+		size := 0
+		for i := range entries {
+			size += entries[i].Size()
+		}
+		p.inflight = append(p.inflight, sentAppend{p.next - 1, size})
+		p.bytes += size
 	}
 }
 
--- a/plugin/quorum/raft/message.go
+++ b/plugin/quorum/raft/message.go
@@ -80,12 +80,15 @@
 	// Heartbeat and LearnerHeartbeat are the intervals of idle heartbeats.
 	Heartbeat        Instant
 	LearnerHeartbeat Instant
-	// MaxBatchBytes bounds the entries of one message, MaxInflight the unanswered
-	// appends to one member, MaxUncommitted the bytes of uncommitted proposals.
-	MaxBatchBytes  int
-	MaxInflight    int
-	MaxUncommitted int
-	Rand           *rand.Rand
+	// MaxBatchBytes bounds the entries of one message unless there is only one.
+	// MaxInflight bounds the unanswered appends to one member; none is sent while
+	// MaxInflightBytes are unanswered. MaxUncommitted bounds the bytes of
+	// uncommitted proposals.
+	MaxBatchBytes    int
+	MaxInflight      int
+	MaxInflightBytes int
+	MaxUncommitted   int
+	Rand             *rand.Rand
 }
 
 // Recovered is the state that a member starts with.
--- a/plugin/quorum/raft/progress.go
+++ b/plugin/quorum/raft/progress.go
@@ -49,8 +49,9 @@
 	flow        flow
 	// waiting tells that the append of a probe is not answered yet.
 	waiting bool
-	// inflight holds the last index of each unanswered append.
-	inflight []uint64
+	// inflight holds the unanswered appends, bytes the sum of their sizes.
+	inflight []sentAppend
+	bytes    int
 	// told is the highest commit index sent.
 	told uint64
 	// active is the time of the last message from the member.
@@ -66,19 +67,26 @@
 	pendingSnapshot uint64
 }
 
+// sentAppend is an append that is not answered yet.
+type sentAppend struct {
+	last  uint64
+	bytes int
+}
+
 func (p *progress) toProbe() {
-	p.flow, p.waiting, p.inflight = probe, false, nil
+	p.flow, p.waiting, p.inflight, p.bytes = probe, false, nil, 0
 	p.next = p.match + 1
 }
 
 func (p *progress) toReplicate() {
-	p.flow, p.waiting, p.inflight = replicate, false, nil
+	p.flow, p.waiting, p.inflight, p.bytes = replicate, false, nil, 0
 	p.next = p.match + 1
 }
 
 func (p *progress) freeTo(index uint64) {
 	n := 0
-	for n < len(p.inflight) && p.inflight[n] <= index {
+	for n < len(p.inflight) && p.inflight[n].last <= index {
+		p.bytes -= p.inflight[n].bytes
 		n++
 	}
 	p.inflight = p.inflight[n:]
--- a/plugin/quorum/raft/raft_test.go
+++ b/plugin/quorum/raft/raft_test.go
@@ -14,7 +14,7 @@
 func options(id replog.MemberID) Options {
 	return Options{
 		ID: id, Election: second, Heartbeat: second / 5, LearnerHeartbeat: second / 2, MaxBatchBytes: 1 << 10,
-		MaxInflight: 4, MaxUncommitted: 1 << 10, Rand: rand.New(rand.NewPCG(uint64(id), 1)),
+		MaxInflight: 32, MaxInflightBytes: 2 << 10, MaxUncommitted: 1 << 20, Rand: rand.New(rand.NewPCG(uint64(id), 1)),
 	}
 }
 
@@ -239,3 +239,56 @@
 		}
 	}
 }
+
+// Guards against a follower that is far behind and gets so much at once that its
+// connection is closed as too slow, again and again.
+func TestUnansweredAppendsAreBounded(t *testing.T) {
+	c := member(3)
+	elect(t, c, 3, 10*second)
+	take(c)
+	for id := replog.MemberID(2); id <= 3; id++ {
+		c.Step(10*second, Message{Type: MsgAppendResp, From: id, To: 1, Term: c.Term(), Index: 2})
+	}
+	take(c)
+	match := uint64(2)
+	for range 60 {
+		if _, _, err := c.Propose(10*second, make([]byte, 500)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Flush(10 * second)
+	for match < c.Last() {
+		sent, last := 0, match
+		for _, m := range take(c) {
+			if m.To != 2 || m.Type != MsgAppend {
+				continue
+			}
+			for i := range m.Entries {
+				sent += m.Entries[i].Size()
+				last = m.Entries[i].Index
+			}
+		}
+		if sent > 4<<10 || last == match {
+			t.Fatalf("%d bytes unanswered at %d of %d", sent, last, c.Last())
+		}
+		match = last
+		c.Step(10*second, Message{Type: MsgAppendResp, From: 2, To: 1, Term: c.Term(), Index: match})
+	}
+}
+
+// Guards against a save that ends after its entries were replaced and is taken
+// for the save of the new ones, which would be acknowledged without being on disk.
+func TestSaveOfReplacedEntriesDoesNotCount(t *testing.T) {
+	c := member(3)
+	two := func(term uint64) []replog.Entry {
+		return []replog.Entry{{Index: 2, Term: term}, {Index: 3, Term: term}}
+	}
+	c.Step(second, Message{Type: MsgAppend, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1, Entries: two(2)})
+	old := c.Ready().Save
+	c.Step(second, Message{Type: MsgAppend, From: 3, To: 1, Term: 3, Index: 1, LogTerm: 1, Entries: two(3), Commit: 3})
+	c.Saved(old)
+	rd := c.Ready()
+	if rd.Save == nil || len(rd.Save.Entries) != 2 || rd.Save.Entries[0].Term != 3 || rd.CanApply {
+		t.Fatalf("entries of term 3 are taken for saved: %+v", rd)
+	}
+}
--- a/plugin/quorum/raft/read.go
+++ b/plugin/quorum/raft/read.go
@@ -39,7 +39,7 @@
 	n := c.quorumValue(c.lead.round, func(p *progress) uint64 { return p.acked })
 	for len(c.lead.rounds) > 0 && c.lead.rounds[0].n <= n {
 		if c.committedInTerm() {
-			c.confirm(c.lead.rounds[0].at)
+			c.Confirm(c.lead.rounds[0].at)
 		}
 		c.lead.rounds = c.lead.rounds[1:]
 	}
--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -146,7 +146,7 @@
 	}
 	n.core = raft.New(raft.Options{
 		ID: d.member, Election: 900 * ms, Heartbeat: 200 * ms, LearnerHeartbeat: 600 * ms,
-		MaxBatchBytes: 200, MaxInflight: 3, MaxUncommitted: 1 << 20, Rand: s.rng,
+		MaxBatchBytes: 200, MaxInflight: 3, MaxInflightBytes: 400, MaxUncommitted: 1 << 20, Rand: s.rng,
 	}, raft.Recovered{Hard: d.hard, Snapshot: d.snapshot, Entries: d.entries}, s.local(n))
 	s.drive(n)
 }
