quorum: pause between attempts to reach the leader

Cause: a proposal at an instance that knows the leader but has no connection to it was queued and tried again at once, in a loop (found by reading). Change: 50 ms between attempts; the request to join is logged once. Check: TestProposalWaitsBeforeTheNextAttempt fails without the pause.

--- a/plugin/quorum/barrier.go
+++ b/plugin/quorum/barrier.go
@@ -12,10 +12,6 @@
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
 
-// barrierRetry is the pause after a failed attempt; it keeps an instance without
-// a leader from asking in a loop.
-const barrierRetry = raft.Instant(50 * time.Millisecond)
-
 var errBarrier = errors.New("read was not confirmed by a majority in time")
 
 // barrier is a call of Barrier that is not answered yet.
@@ -127,7 +123,7 @@
 	b := &q.barriers
 	b.asked = false
 	if index == 0 {
-		b.retry = now + barrierRetry
+		b.retry = now + leaderRetry
 		b.waiting = append(b.waiting, group...)
 		return
 	}
--- a/plugin/quorum/disk_test.go
+++ b/plugin/quorum/disk_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/clock"
 	"github.com/celeryyard/celeryyard/plugin/journal"
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
@@ -43,3 +46,18 @@
 		t.Fatalf("written after the snapshot: %+v", last)
 	}
 }
+
+// Guards against a loop of attempts while the leader is known but not connected.
+func TestProposalWaitsBeforeTheNextAttempt(t *testing.T) {
+	s := newSim(1, 3)
+	n := s.nodes[0]
+	q := &Quorum{c: &kernel.Context{Clock: clock.System{}}, core: n.core, proposals: *n.table, begin: time.Now()}
+	q.proposals.add([]byte("x"), 1<<60, func(any, error) {})
+	p := q.proposals.queue[0]
+	q.proposals.queue = nil
+	q.unsent(p)
+	q.route(q.now())
+	if len(q.proposals.queue) != 1 || p.handed || p.retry <= q.now() {
+		t.Fatalf("queue %d, handed %v, next attempt at %d", len(q.proposals.queue), p.handed, p.retry)
+	}
+}
--- a/plugin/quorum/join.go
+++ b/plugin/quorum/join.go
@@ -90,9 +90,10 @@
 func (q *Quorum) askJoin() {
 	config := q.core.CommittedConfig()
 	_, member := config.Find(q.member)
-	if !member {
+	if !member && !q.joining { // logged once, the request is repeated
 		q.call(func() { q.c.Log.Log(evJoining).Str("member", q.member.String()).Send() })
 	}
+	q.joining = !member
 	m := joinMessage{ID: q.member, Commit: q.core.Commit(), Member: member}
 	q.ask("quorum.join", m, func(_ string, raw []byte) {
 		var a joinAnswer
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -99,6 +99,7 @@
 	joins     []replog.Member
 	asked     raft.Instant // last time the instance asked to join or for the founding
 	found     *foundation
+	joining   bool // asks to be added
 	receiving *incoming
 	sending   map[replog.MemberID]bool
 }
--- a/plugin/quorum/propose.go
+++ b/plugin/quorum/propose.go
@@ -21,6 +21,10 @@
 // process that proposed it and the proposal's number there.
 const headerBytes = 16
 
+// leaderRetry is the pause after a failed attempt to reach the leader; it keeps an
+// instance from asking in a loop.
+const leaderRetry = raft.Instant(50 * time.Millisecond)
+
 var (
 	errTimeout    = errors.New("proposal was not decided in time")
 	errNoLeader   = errors.New("no leader could be reached in time")
@@ -42,7 +46,9 @@
 	number   uint64
 	data     []byte // with header
 	deadline raft.Instant
-	done     func(any, error)
+	// retry is the earliest time of the next attempt to reach the leader.
+	retry raft.Instant
+	done  func(any, error)
 	// handed tells that a leader may have appended the entry.
 	handed bool
 	// index and term name the entry once the leader has told them.
@@ -172,6 +178,10 @@
 		if q.proposals.open[p.number] != p {
 			continue // its time was up
 		}
+		if now < p.retry {
+			q.proposals.queue = append(q.proposals.queue, p)
+			continue
+		}
 		if q.core.State() != raft.Leader {
 			q.forward(p)
 			continue
@@ -218,6 +228,7 @@
 // unsent queues a proposal again that no leader has appended; mu is held.
 func (q *Quorum) unsent(p *proposal) {
 	p.handed = false
+	p.retry = q.now() + leaderRetry
 	if q.proposals.open[p.number] == p {
 		q.proposals.queue = append(q.proposals.queue, p)
 	}
