--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -170,14 +170,18 @@
 			if err != nil {
 				return
 			}
-			go func() { // proves the key and then answers nothing
-				_, _ = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.Key)), "control-0", false, func(*rpc.Conn, *rpc.Request) {})
+			go func() { // answers the hello and then nothing
+				_, _ = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.Key)), "control-0", false, func(_ *rpc.Conn, r *rpc.Request) {
+					if r.Method == peerapi.NodeHello {
+						r.Reply(&peerapi.HelloReply{Instance: "control-0"})
+					}
+				})
 			}()
 		}
 	}()
 	b := f.control(1, "")
 	b.catalog.put("lectura", "catalogo", 1000)
-	n := f.node("n1", "cant-a", "catalogo", all, `, "home_retry": "300ms", "ping_timeout": "500ms"`)
+	n := f.node("n1", "cant-a", "catalogo", all, `, "home_retry": "300ms", "ping_timeout": "500ms", "ping_interval": "300ms"`)
 	kerneltest.Wait(t, within, "attachment elsewhere", func() bool { return n.version() == 1 && n.endpoints("catalogo") == 1 })
 	l.Close()
 	a := f.control(0, `, "distribution": {"isolated_after": "300ms"}`)
@@ -198,6 +202,33 @@
 	})
 }
 
+// Guards against a silent instance whose nodes are forgotten, and against nodes
+// that count as unseen although they have attached elsewhere.
+func TestStatusCountsUnseenNodesOfASilentInstance(t *testing.T) {
+	f := newFleet(t, "cant-a", "cant-b")
+	a, b := f.control(0, ""), f.control(1, "")
+	e := resource.Endpoint{Service: "catalogo", Incarnation: 1, Address: "127.0.0.1:1", Slots: 9, State: resource.StateReady}
+	announce := func(instance int, node string) {
+		r := f.rawNode(instance, node)
+		r.call(peerapi.NodeHello, &peerapi.Hello{Node: node, Services: []string{"*"}}, &peerapi.HelloReply{})
+		e.Node = node
+		r.call(peerapi.NodeAnnounce, &peerapi.Announce{Endpoint: e}, &peerapi.AnnounceReply{})
+	}
+	announce(0, "n1")
+	announce(0, "n2")
+	kerneltest.Wait(t, within, "records at the other instance", func() bool { return len(b.discovery.Set("catalogo").Endpoints) == 2 })
+	a.stop()
+	kerneltest.Wait(t, within, "silent instance", func() bool { return !status(t, b)[0].Reachable })
+	if s := status(t, b)[0]; s.Unseen != 2 {
+		t.Fatalf("status %+v, want 2 unseen nodes", s)
+	}
+	e.Incarnation = 2
+	announce(1, "n1")
+	if s := status(t, b)[0]; s.Unseen != 1 || s.UnseenNodes[0] != "n2" {
+		t.Fatalf("status %+v, want n2 unseen", s)
+	}
+}
+
 func status(t *testing.T, c *control) []api.InstanceStatus {
 	got := make(chan []api.InstanceStatus, 1)
 	c.distribution.Status(time.Second, func(s []api.InstanceStatus) { got <- s })
@@ -229,10 +260,12 @@
 		})
 		e.Revision, e.State = e.Revision+1, resource.StateDraining
 		r.call(peerapi.NodeAnnounce, &peerapi.Announce{Endpoint: e}, &peerapi.AnnounceReply{})
-		time.Sleep(10 * time.Millisecond) // the update is on its way to the node
-		if s := m.view.Current().Sets["catalogo"].Endpoints[0].State; s != resource.StateDraining {
-			t.Fatalf("round %d: answered while the other instance's node shows %q", i, s)
+		if s := b.discovery.Set("catalogo").Endpoints[0].State; s != resource.StateDraining {
+			t.Fatalf("round %d: answered while the other instance shows %q", i, s)
 		}
+		kerneltest.Wait(t, time.Second, "node of the other instance", func() bool {
+			return m.view.Current().Sets["catalogo"].Endpoints[0].State == resource.StateDraining
+		})
 	}
 }
 
