--- a/plugin/quorum/barrier.go
+++ b/plugin/quorum/barrier.go
@@ -12,16 +12,15 @@
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
 
-// barrierRetry is the pause after a failed attempt; it keeps an instance without
-// a leader from asking in a loop.
-const barrierRetry = raft.Instant(50 * time.Millisecond)
-
 var errBarrier = errors.New("read was not confirmed by a majority in time")
 
 // barrier is a call of Barrier that is not answered yet.
 type barrier struct {
 	deadline raft.Instant
 	done     func(error)
+	// asked is when the leader was asked; everything committed before it is at or
+	// below index.
+	asked raft.Instant
 	// index is the position to be applied; 0 before the leader has told it.
 	index uint64
 }
@@ -69,6 +68,9 @@
 		return
 	}
 	b.last++
+	for _, w := range b.waiting {
+		w.asked = now
+	}
 	b.groups[b.last] = &readGroup{local: b.waiting, remote: b.remote}
 	b.waiting, b.remote = nil, nil
 	_ = q.core.ReadIndex(now, b.last) // fails only on a member that is not the leader
@@ -94,6 +96,7 @@
 	left := raft.Instant(0)
 	for _, w := range group {
 		left = max(left, w.deadline-now)
+		w.asked = now
 	}
 	// An unanswered request must not hold up the barriers that come after it.
 	left = min(left, 2*raft.Instant(q.s.ElectionTimeout.D()))
@@ -120,7 +123,7 @@
 	b := &q.barriers
 	b.asked = false
 	if index == 0 {
-		b.retry = now + barrierRetry
+		b.retry = now + leaderRetry
 		b.waiting = append(b.waiting, group...)
 		return
 	}
@@ -166,6 +169,7 @@
 			kept = append(kept, w)
 			continue
 		}
+		q.core.Confirm(w.asked)
 		q.call(func() { w.done(nil) })
 	}
 	clear(q.barriers.indexed[len(kept):])
