--- a/plugin/announce/decide_test.go
+++ b/plugin/announce/decide_test.go
@@ -51,6 +51,12 @@
 		}
 		return true
 	}, gen.SliceOfN(30, gen.IntRange(0, 8))))
+	props.TestingRun(t)
+}
+
+// Guards against an upstream that fails in turns and changes state each time.
+func TestHealthChangesEverMoreSlowly(t *testing.T) {
+	props := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(51))
 	props.Property("an upstream that fails in turns changes state ever more slowly", prop.ForAllNoShrink(func(period int) bool {
 		now := time.Unix(1e9, 0)
 		h := newHealth(1, 3, maxUnready, now)
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -202,6 +202,23 @@
 	})
 }
 
+// Guards against nodes that search without pause when every instance is isolated.
+func TestIsolatedFleetIsNotFlooded(t *testing.T) {
+	f := newFleet(t, "cant-a", "cant-b")
+	extra := `, "distribution": {"isolated_after": "100ms"}`
+	a, b := f.control(0, extra), f.control(1, extra)
+	a.catalog.put("lectura", "catalogo", 1000)
+	n := f.node("n1", "cant-a", "", all, `, "ping_interval": "100ms", "home_retry": "10s"`)
+	kerneltest.Wait(t, within, "first snapshot", func() bool { return n.version() == 1 })
+	a.log.partition(true)
+	b.log.partition(true)
+	time.Sleep(2 * time.Second)
+	requests := b.Metrics().GetOrCreateCounter("celeryyard_peer_requests_total").Get()
+	if requests > 20 || a.distribution.own().Nodes != 1 {
+		t.Fatalf("the other isolated instance got %d requests; %d nodes are attached", requests, a.distribution.own().Nodes)
+	}
+}
+
 func status(t *testing.T, c *control) []api.InstanceStatus {
 	got := make(chan []api.InstanceStatus, 1)
 	c.distribution.Status(time.Second, func(s []api.InstanceStatus) { got <- s })
--- a/plugin/distribution/setup.go
+++ b/plugin/distribution/setup.go
@@ -14,7 +14,7 @@
 		After: []string{"admin", "trace"},
 		Settings: func() any {
 			return &Settings{
-				NodeTimeout: ms(5000), BarrierTimeout: ms(1000), BarrierRetry: ms(500), AckTimeout: ms(10000),
+				NodeTimeout: ms(5000), BarrierTimeout: ms(1000), BarrierRetry: ms(500), AckTimeout: ms(30000),
 				ResumeRate: 500, ResumeBurst: 100, IsolatedAfter: ms(5000),
 			}
 		},
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -82,13 +82,18 @@
 	m := &move{s: s, targets: targets}
 	link := s.peer.ConnectAny(m.next, m.up)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	m.link = link
-	if !m.moved {
+	over := m.over
+	switch {
+	case m.moved:
+		s.link = link // the connection was made before ConnectAny returned
+	case !over:
 		s.candidate = link
-		return
 	}
-	s.link = link // the connection was made before ConnectAny returned
+	s.mu.Unlock()
+	if over {
+		link.Close()
+	}
 }
 
 // move is an attempt to move the session to another instance. Its fields are
@@ -98,7 +103,9 @@
 	targets []instance
 	tried   int
 	moved   bool
-	link    *peer.Link
+	// over tells that every target has answered that it suits no better.
+	over bool
+	link *peer.Link
 }
 
 func (m *move) next(attempt int) string {
@@ -129,13 +136,30 @@
 			err = json.Unmarshal(raw, &r)
 		}
 		if err != nil || r.Isolated {
-			c.Close() // the link tries the next target until the next check ends it
+			c.Close()
+			m.refused()
 			return
 		}
 		m.take(c)
 	})
 }
 
+// refused ends the attempt once all targets were tried; otherwise the link goes
+// on to the next one.
+func (m *move) refused() {
+	s := m.s
+	s.mu.Lock()
+	m.over = m.tried >= len(m.targets)
+	over, link := m.over, m.link
+	if over && s.candidate == link {
+		s.candidate = nil
+	}
+	s.mu.Unlock()
+	if over && link != nil {
+		link.Close()
+	}
+}
+
 // take makes the connection that of the session and closes the one before.
 func (m *move) take(c *rpc.Conn) {
 	s := m.s
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -31,6 +31,12 @@
 	evNoHome   = event.Declare(605, zerolog.ErrorLevel, "settings name no control instance")
 )
 
+// Pauses after refused sessions.
+const (
+	minRefusedPause = 100 * time.Millisecond
+	maxRefusedPause = 5 * time.Second
+)
+
 // stateKey orders the jobs that read or change what the node holds.
 const stateKey = "session/state"
 
@@ -45,6 +51,7 @@
 	view        api.View
 	trace       *trace.Trace
 	incarnation uint64
+	ctx         context.Context
 	attach      []func()
 
 	// mu guards everything below.
@@ -59,6 +66,8 @@
 	attached        bool
 	// isolated tells that the current instance does not reach the quorum.
 	isolated bool
+	// refused counts refused sessions in a row.
+	refused int
 
 	sessions *metrics.Counter
 }
@@ -102,7 +111,8 @@
 }
 
 // Start implements kernel.Plugin.
-func (s *Session) Start(context.Context) error {
+func (s *Session) Start(ctx context.Context) error {
+	s.ctx = ctx
 	var members []instance
 	for _, m := range s.peer.Instances() {
 		members = append(members, instance{m.Name, m.Address, m.AvailabilityZone})
@@ -127,7 +137,20 @@
 // Stop implements kernel.Plugin.
 func (s *Session) Stop(context.Context) error { return nil }
 
+// next runs on the goroutine of the link. After refused sessions it waits, since
+// the link itself slows down only after failed connections.
 func (s *Session) next(attempt int) string {
+	s.mu.Lock()
+	refused := s.refused
+	s.mu.Unlock()
+	if refused > 0 {
+		wait := time.NewTimer(peer.Backoff(refused, minRefusedPause, maxRefusedPause, s.c.Rand()))
+		defer wait.Stop()
+		select {
+		case <-wait.C:
+		case <-s.ctx.Done():
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return choose(s.list, attempt, s.last).address
@@ -158,6 +181,9 @@
 		}
 		if err != nil {
 			s.c.Log.Log(evRefused).Str("process", c.Peer).Err(err).Send()
+			s.mu.Lock()
+			s.refused++
+			s.mu.Unlock()
 			c.Close()
 			return
 		}
@@ -170,7 +196,7 @@
 	current := s.conn == c
 	s.attached = s.attached || current
 	if current {
-		s.last = ""
+		s.last, s.refused = "", 0
 	}
 	s.mu.Unlock()
 	if !current {
