--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -249,7 +249,7 @@
 func (f *fleet) control(i int, extra string) *control {
 	m := f.members[i]
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q, "seed": %d, "data_folder": %q},
-		"peer": {"listen": %q, "instances": %s}%s}`, m.Name, m.AvailabilityZone, f.key, i+1, f.t.TempDir(), m.Address, f.instances(), extra)
+		"peer": {"listen": %q, "instances": %s}, "discovery": {"settle_timeout": "300ms"}%s}`, m.Name, m.AvailabilityZone, f.key, i+1, f.t.TempDir(), m.Address, f.instances(), extra)
 	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "distribution"}, text, false)
 	return &control{
 		Kernel: k, catalog: k.Service("catalog").(*fakeCatalog), log: k.Service("quorum").(*fakeLog),
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -36,6 +36,10 @@
 // readHeaderTimeout bounds the reading of request headers.
 const readHeaderTimeout = 10 * time.Second
 
+// linger is the time for which calls of nodes that have not yet heard of the stop
+// are still rejected with proof before the listener closes.
+const linger = 200 * time.Millisecond
+
 // idleCheck is the interval at which expired idle connections are closed.
 const idleCheck = 2 * time.Second
 
@@ -121,6 +125,10 @@
 	var err error
 	select {
 	case <-left:
+		select {
+		case <-time.After(linger):
+		case <-ctx.Done():
+		}
 	case <-ctx.Done():
 		err = errors.New("planned stop did not end in time")
 	}
@@ -155,20 +163,21 @@
 // checkIdle starts the end of the planned stop once no call is in flight. The
 // caller holds mu.
 func (in *Inbound) checkIdle() {
-	if in.leaving && in.active == 0 && in.idle != nil {
+	if in.active == 0 && in.idle != nil {
 		go in.idle() // waits for other nodes, so it is no job of the kernel's pool
 		in.idle = nil
 	}
 }
 
-// enter counts a call as in flight unless the upstream leaves. It returns the
-// pool whose workers are the slots; nil when the upstream has none.
-func (in *Inbound) enter(slots int) (p *pool.Pool, leaving bool) {
+// enter counts a call as in flight unless the upstream leaves; draining is false
+// again once a new upstream was announced. It returns the pool whose workers are the slots; nil when the upstream has none.
+func (in *Inbound) enter(slots int, draining bool) (p *pool.Pool, leaving bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.leaving {
+	if in.leaving && draining {
 		return nil, true
 	}
+	in.leaving = false
 	if slots != in.slots {
 		in.resize(slots)
 	}
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/kernel"
@@ -34,6 +35,9 @@
 	idleTimeout    = 60 * time.Second
 	writeTimeout   = maxTimeout + 10*time.Second
 	maxHeaderBytes = 16 << 10
+	// maxConnections bounds the memory of connections that have not yet shown a
+	// token; further ones wait in the listener's backlog.
+	maxConnections = 1024
 )
 
 // Operator is the plug-in. It owns no table.
@@ -48,7 +52,6 @@
 	tokens    *tokens
 	echo      *echo.Echo
 	server    *http.Server
-	address   net.Addr
 	// shares holds the bounds of each organisation. It is read-only after Start.
 	shares map[string]*share
 
@@ -93,8 +96,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	o.address = l.Addr()
 	o.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
+	l = netutil.LimitListener(l, maxConnections)
 	o.server = &http.Server{
 		Handler: o.echo, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -116,27 +119,34 @@
 }
 
 func (o *Operator) loadTokens() error {
-	f, err := settings.Load(o.s.TokensFile)
+	t, entries, err := readTokens(o.s.TokensFile)
 	if err != nil {
-		return errors.Wrap(err, "tokens file")
+		return err
+	}
+	o.tokens, o.shares = t, map[string]*share{}
+	for _, e := range entries {
+		o.shares[e.Organisation] = newShare(o.s)
+	}
+	return nil
+}
+
+// readTokens reads and checks a tokens file.
+func readTokens(path string) (*tokens, []tokenEntry, error) {
+	f, err := settings.Load(path)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "tokens file")
 	}
 	if err := f.Unknown(map[string]bool{"operators": true}); err != nil {
-		return err
+		return nil, nil, err
 	}
 	var entries []tokenEntry
 	if err := f.Decode("operators", &entries); err != nil {
-		return err
+		return nil, nil, err
 	}
 	key := make([]byte, 32)
 	if _, err := rand.Read(key); err != nil {
-		return errors.Wrap(err, "key for token hashes")
-	}
-	if o.tokens, err = newTokens(key, entries); err != nil {
-		return errors.Wrapf(err, "%s: operators", o.s.TokensFile)
+		return nil, nil, errors.Wrap(err, "key for token hashes")
 	}
-	o.shares = map[string]*share{}
-	for _, e := range entries {
-		o.shares[e.Organisation] = newShare(o.s)
-	}
-	return nil
+	t, err := newTokens(key, entries)
+	return t, entries, errors.Wrapf(err, "%s: operators", path)
 }
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -55,6 +55,7 @@
 	// started is set once client can be used by other goroutines: the view may
 	// change before Start.
 	started atomic.Bool
+	last    *resource.Snapshot // used by changed only
 
 	// byOrganisation is replaced as a whole when an organisation is added.
 	byOrganisation atomic.Pointer[map[string]*callMetrics]
@@ -67,9 +68,10 @@
 type callMetrics struct{ ran, notRun, mayHaveRun, retries *metrics.Counter }
 
 func newOutbound(c *kernel.Context) *Outbound {
+	view := kernel.Use[api.View](c, "view")
 	o := &Outbound{
-		c: c, s: c.Settings.(*Settings), view: kernel.Use[api.View](c, "view"), peer: kernel.Use[*peer.Peer](c, "peer"),
-		table:      newTable(c.Instance.AvailabilityZone, c.Rand()),
+		c: c, s: c.Settings.(*Settings), view: view, peer: kernel.Use[*peer.Peer](c, "peer"),
+		table:      newTable(c.Instance.AvailabilityZone, view.Current, c.Rand()),
 		dispatches: c.Metrics.NewCounter(`celeryyard_dispatches_total{side="outbound"}`),
 		ejections:  c.Metrics.NewCounter("celeryyard_ejections_total"),
 		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="outbound"}`),
@@ -119,21 +121,18 @@
 	return err
 }
 
-// changed closes idle connections to endpoints that are draining or gone.
+// changed takes over a new snapshot and closes idle connections to endpoints that
+// drain or are gone. The view calls it for one snapshot at a time.
 func (o *Outbound) changed(s *resource.Snapshot) {
-	if !o.started.Load() {
+	o.table.apply(s, time.Now())
+	before := o.last
+	o.last = s
+	if !o.started.Load() || before == nil {
 		return
 	}
-	o.table.prune(s)
-	use := map[string]bool{}
-	for _, set := range s.Sets {
-		for i := range set.Endpoints {
-			if set.Endpoints[i].State != resource.StateDraining && set.Endpoints[i].State != resource.StateGone {
-				use[set.Endpoints[i].Address] = true
-			}
-		}
+	if leaving := leaving(before.Sets, s.Sets); len(leaving) > 0 {
+		o.client.CloseIdle(func(address string) bool { return leaving[address] })
 	}
-	o.client.CloseIdle(func(address string) bool { return !use[address] })
 }
 
 // ServeHTTP handles one call. It implements http.Handler.
@@ -149,7 +148,6 @@
 		return
 	}
 	c := &call{o: o, w: w, r: r, route: route, cluster: snapshot.Clusters[route.Cluster], m: o.metricsOf(route.Organisation)}
-	c.set = snapshot.Sets[c.cluster.Service]
 	if err := c.prepare(); err != nil {
 		c.m.notRun.Inc()
 		w.Header().Set("Connection", "close")
--- a/test/dataplane/faults_test.go
+++ b/test/dataplane/faults_test.go
@@ -20,7 +20,13 @@
 // Guards against a planned stop that cuts or loses calls: every node leaves and
 // comes back in turn under load, and no call fails.
 func TestPlannedStopCutsNothing(t *testing.T) {
+	t.Run("callers know", func(t *testing.T) { plannedStop(t, false) })
+	t.Run("callers have not heard", func(t *testing.T) { plannedStop(t, true) })
+}
+
+func plannedStop(t *testing.T, deaf bool) {
 	f := newFleet(t, 9)
+	f.clust.RetryBudgetPercent = 100 // the budget is not what is tested
 	var runs atomic.Int64
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
@@ -31,6 +37,9 @@
 		f.add(fmt.Sprintf("n%d", i), "z1", h)
 	}
 	caller := f.add("caller", "z1", nil)
+	f.mu.Lock()
+	caller.deaf = deaf
+	f.mu.Unlock()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	var calls, failed atomic.Int64
@@ -146,11 +155,61 @@
 	for _, n := range f.nodes[1:3] {
 		n.upstream.Close()
 	}
+	// A call that may have run at one endpoint is not told "not run" because another
+	// one refused its retry.
+	var runs atomic.Int64
+	f.add("cuts", "z1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	for i := range 20 {
+		before := runs.Load()
+		if got := caller.call("GET", "north", "/", ""); runs.Load() > before && got.verdict != "may-have-run" {
+			t.Fatalf("call %d ran: %+v", i, got)
+		}
+	}
+	f.setState(f.nodes[4], resource.StateGone)
 	if got := caller.call("POST", "north", "/", "x"); got.status != 503 || got.verdict != "not-run" {
 		t.Fatalf("no upstream is alive: %+v", got)
 	}
 }
 
+// Guards against a flood of one organisation that costs the other one calls.
+func TestFloodCostsTheOtherNothing(t *testing.T) {
+	f := newFleet(t, 4)
+	f.add("a", "z1", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { time.Sleep(10 * time.Millisecond) }))
+	b := f.add("b", "z1", nil)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	var refused atomic.Int64
+	for range 32 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if got := b.call("POST", "north", "/", "x"); got.verdict == "not-run" {
+					refused.Add(1)
+				}
+			}
+		}()
+	}
+	for i := range 100 {
+		if got := b.call("POST", "south", "/", "x"); got.status != 200 {
+			t.Errorf("call %d of the other organisation: %+v", i, got)
+		}
+	}
+	close(stop)
+	wg.Wait()
+	if refused.Load() == 0 {
+		t.Error("the flood was not refused, so nothing was tested")
+	}
+}
+
 // keyedFleet has four nodes in two zones and counts executions by path.
 func keyedFleet(t *testing.T) (*fleet, *ledger) {
 	l := &ledger{runs: map[string]int{}}
