--- a/cmd/celeryyard/main_test.go
+++ b/cmd/celeryyard/main_test.go
@@ -178,6 +178,7 @@
 	}{
 		{[]api.InstanceStatus{good, lost}, false, "b is silent; 2 of the nodes that it served last have not been seen elsewhere (n1, n2)"},
 		{[]api.InstanceStatus{good, {Instance: "b"}}, false, "b is silent; all nodes with an upstream"},
+		{[]api.InstanceStatus{{Instance: "a", Reachable: true, Version: 5, Unseen: 1, UnseenNodes: []string{"n3"}}, good}, false, "1 nodes last served by a are attached nowhere (n3)"},
 		{[]api.InstanceStatus{good, lost, late}, false, ""},
 		{[]api.InstanceStatus{good, lost}, true, ""},
 	} {
--- a/cmd/celeryyard/wait.go
+++ b/cmd/celeryyard/wait.go
@@ -12,10 +12,10 @@
 const (
 	// pollInterval is the time between two looks at the fleet's state.
 	pollInterval = 250 * time.Millisecond
-	// silentWait is how long --wait gives the nodes of a silent instance to be seen
-	// elsewhere. With default settings a node of a frozen instance needs up to 7 s:
-	// ping interval 2 s, ping timeout 3 s, back-off 2 s.
-	silentWait = 10 * time.Second
+	// unknownWait is how long --wait gives nodes without an instance that answers to
+	// be seen again. With default settings a node of a frozen instance needs up to
+	// 7 s: ping interval 2 s, ping timeout 3 s, back-off 2 s.
+	unknownWait = 10 * time.Second
 )
 
 // look is what one look at the fleet tells about a version.
@@ -23,8 +23,8 @@
 	line string
 	// done tells that the version is known to be in force on every node.
 	done bool
-	// unknown states what the silent instances leave open. It is empty while an
-	// instance that answers, or one of its nodes, is behind.
+	// unknown states what silent instances and nodes that are attached nowhere leave
+	// open. It is empty while an instance that answers, or a node of it, is behind.
 	unknown string
 }
 
@@ -58,7 +58,7 @@
 		if l.unknown != unknown {
 			unknown, since = l.unknown, time.Now()
 		}
-		if unknown != "" && time.Since(since) >= silentWait {
+		if unknown != "" && time.Since(since) >= unknownWait {
 			return notInForce(version, shown, unknown)
 		}
 		if s.Stale {
@@ -76,7 +76,7 @@
 	if unknown == "" {
 		return errors.Newf("version %d is accepted, but not yet in force everywhere: %s", version, line)
 	}
-	return errors.Newf("version %d is accepted and in force on every node of the instances that answer; not known: %s", version, unknown)
+	return errors.Newf("version %d is accepted and in force on every node attached to an instance that answers; not known: %s", version, unknown)
 }
 
 // progress sums up the fleet for version.
@@ -94,7 +94,9 @@
 			behind += i.Nodes
 		case i.Nodes > 0 && uint64(i.LowestVersion) < version:
 			behind += i.Behind
-		case i.Unseen == 0:
+		case i.Unseen > 0:
+			unknown = append(unknown, fmt.Sprintf("%d nodes last served by %s are attached nowhere (%s)", i.Unseen, i.Instance, names(i.UnseenNodes, i.Unseen)))
+		default:
 			current++
 		}
 	}
@@ -106,7 +108,7 @@
 	if len(silent) > 0 {
 		l.line += "; no answer from " + strings.Join(silent, ", ")
 	}
-	if len(silent) > 0 && current+len(silent) == len(s.Fleet) && !s.Stale {
+	if current+len(unknown) == len(s.Fleet) && !s.Stale {
 		l.unknown = strings.Join(unknown, "; ")
 	}
 	return l
--- a/core/api/api.go
+++ b/core/api/api.go
@@ -117,8 +117,9 @@
 	BehindNodes []string `json:"behind_nodes,omitempty"`
 	// Unseen counts nodes with an upstream that this instance served last and that
 	// no instance that answered serves now; UnseenNodes names at most 20 of them.
-	// Nodes whose lease the instance itself has declared lost are left out. It is
-	// the only count that is also given for an instance that did not answer.
+	// Nodes whose lease is lost are among them until their records are forgotten:
+	// a frozen node, or one that is cut off, may still serve callers. It is the only
+	// count that is also given for an instance that did not answer.
 	Unseen      int      `json:"unseen"`
 	UnseenNodes []string `json:"unseen_nodes,omitempty"`
 }
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -155,8 +155,9 @@
 }
 
 // ServedBy returns the nodes whose newest record is held by the named control
-// instance and was neither withdrawn nor declared lost by it, in rising order.
-// A node that has attached elsewhere since is not among them.
+// instance and was not withdrawn, in rising order. A node that has attached
+// elsewhere since is not among them; one whose lease is lost is, until its record
+// is forgotten.
 func (d *Discovery) ServedBy(instance string) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/plugin/discovery/table.go
+++ b/plugin/discovery/table.go
@@ -210,12 +210,12 @@
 	return lost > alive
 }
 
-// servedBy returns the nodes that the named owner has not declared lost. Doubts
-// of this instance alone do not remove a node.
+// servedBy returns the nodes of the named owner that did not withdraw. A lost
+// lease does not remove a node: it may run on without a control instance.
 func (t *table) servedBy(owner string) []string {
 	var nodes []string
 	for node, r := range t.records {
-		if r.Owner == owner && !r.Lost && r.Endpoint.State != resource.StateGone {
+		if r.Owner == owner && r.Endpoint.State != resource.StateGone {
 			nodes = append(nodes, node)
 		}
 	}
