experiment: scenarios get the plug-ins of the programs again

Cause: the command put the lists of plug-ins into the settings before they were written to JSON, where the field is left out, so every scenario of "celeryyard-load experiment" ended with "section ... belongs to no plug-in". Change: the lists are set on the plug-in before the start. Seen: "celeryyard-load experiment convergence" failed before and measures now; cmd/celeryyard-load/main_test.go guards it.

--- a/plugin/experiment/command.go
+++ b/plugin/experiment/command.go
@@ -41,7 +41,8 @@
 	if err != nil {
 		return errors.Mark(err, load.ErrUsage)
 	}
-	p, err := load.RunJob(kernel.Options{Plugins: []string{"experiment"}, Settings: file, Log: os.Stderr}, "experiment")
+	p, err := load.RunJob(kernel.Options{Plugins: []string{"experiment"}, Settings: file, Log: os.Stderr}, "experiment",
+		func(p kernel.Plugin) { p.(*Experiment).s.Plugins = c.Plugins })
 	if err != nil {
 		return err
 	}
@@ -100,7 +101,6 @@
 )
 
 func (c *Command) override(s *Settings) error {
-	s.Plugins = c.Plugins
 	if len(c.Args.Scenarios) > 0 {
 		s.Scenarios = c.Args.Scenarios
 	}
--- a/plugin/experiment/setup.go
+++ b/plugin/experiment/setup.go
@@ -43,8 +43,8 @@
 	// Coalesce lists the settings of distribution/coalesce that are compared; the
 	// first is the baseline.
 	Coalesce []settings.Duration `json:"coalesce"`
-	// Plugins lists the plug-ins of the kernels that an experiment runs. The
-	// program fills them in from package role.
+	// Plugins lists the plug-ins of the kernels that an experiment runs. It is no
+	// setting: the command sets it before the start, from package role.
 	Plugins Plugins `json:"-"`
 }
 
