peer: failing connection attempts are logged as a warning once

Cause: a node with a wrong fleet key, or without any control instance, logged nothing at the default level; only the control instance showed event 201. Change: event 205 after 8 failures in a row, about 5 s with the default back-off, once in each outage, with the last error. Seen: celeryyard-node with another key printed no line about it for 4 s and /readyz said only "no configuration is held yet".

--- a/plugin/peer/link.go
+++ b/plugin/peer/link.go
@@ -64,12 +64,19 @@
 	}
 }
 
+// warnFailures is the number of failed attempts in a row that is logged once as a
+// warning. With the default back-off it is reached after about 5 s.
+const warnFailures = 8
+
 func (l *Link) run() {
 	defer l.p.wg.Done()
 	for failures := 0; l.ctx.Err() == nil; {
 		c, err := l.dial(l.next(failures))
 		if err != nil {
 			l.p.c.Log.Log(evDialled).Err(err).Send()
+			if failures+1 == warnFailures {
+				l.p.c.Log.Log(evNoAnswer).Int("attempts", failures+1).Err(err).Send()
+			}
 			if !l.pause(failures) {
 				return
 			}
--- a/plugin/peer/peer_test.go
+++ b/plugin/peer/peer_test.go
@@ -1,17 +1,70 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/celeryyard/celeryyard/core/rpc"
+	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
-	_ "github.com/celeryyard/celeryyard/plugin/peer" // registers itself
+	"github.com/celeryyard/celeryyard/kernel/settings"
+	"github.com/celeryyard/celeryyard/plugin/peer"
 )
 
+// logText is a log that is read while it is written.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logText) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// Guards against a process that reaches no control instance and logs nothing at
+// the default level.
+func TestFailingConnectionIsLoggedOnce(t *testing.T) {
+	text := fmt.Sprintf(`{"instance": {"name": "a", "fleet_key_file": %q}, "peer": {"min_backoff": "1ms", "max_backoff": "2ms"}}`, kerneltest.KeyFile(t))
+	file, err := settings.Parse("test.json", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := &logText{}
+	k, err := kernel.New(kernel.Options{Plugins: []string{"peer"}, Settings: file, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx) }()
+	kerneltest.Wait(t, 5*time.Second, "start", func() bool { return strings.Contains(log.String(), "process started") })
+	address := kerneltest.FreeAddress(t)
+	k.Service("peer").(*peer.Peer).Connect(address, func(*rpc.Conn) {})
+	kerneltest.Wait(t, 5*time.Second, "warning", func() bool { return strings.Contains(log.String(), `"event":205`) })
+	time.Sleep(50 * time.Millisecond) // time for further attempts
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if got := log.String(); strings.Count(got, `"event":205`) != 1 || !strings.Contains(got, address) {
+		t.Fatalf("log:\n%s", got)
+	}
+}
+
 // Guards against a process without the fleet's key that gets a connection, and
 // against requests that are not answered.
 func TestOnlyHoldersOfTheKeyConnect(t *testing.T) {
--- a/plugin/peer/plugin.go
+++ b/plugin/peer/plugin.go
@@ -25,6 +25,7 @@
 	evUp        = event.Declare(202, zerolog.DebugLevel, "connected to process")
 	evDown      = event.Declare(203, zerolog.InfoLevel, "lost connection to process")
 	evDialled   = event.Declare(204, zerolog.DebugLevel, "connection attempt failed")
+	evNoAnswer  = event.Declare(205, zerolog.WarnLevel, "connection attempts keep failing")
 )
 
 // Handler handles one request. It runs on a worker of the kernel's pool;
