--- a/cmd/celeryyard/main_test.go
+++ b/cmd/celeryyard/main_test.go
@@ -155,6 +155,7 @@
 		{"node behind", func(i *api.InstanceStatus) { i.LowestVersion, i.Behind = 4, 1 }, false},
 		{"instance behind", func(i *api.InstanceStatus) { i.Version, i.LowestVersion = 4, 4 }, false},
 		{"instance silent", func(i *api.InstanceStatus) { i.Reachable = false }, false},
+		{"node of another group", func(i *api.InstanceStatus) { i.LowestVersion, i.Ahead = 9, 2 }, false},
 		{"node between instances", func(i *api.InstanceStatus) { i.Unseen = 1 }, false},
 	} {
 		other := good
--- a/cmd/celeryyard/table.go
+++ b/cmd/celeryyard/table.go
@@ -155,6 +155,9 @@
 		if i.Behind > 0 {
 			fmt.Fprintf(w, "behind at %s: %s\n", i.Instance, names(i.BehindNodes, i.Behind))
 		}
+		if i.Ahead > 0 {
+			fmt.Fprintf(w, "ahead at %s: %d nodes hold a version above %d; if it stays so, they hold the configuration of another group\n", i.Instance, i.Ahead, i.Version)
+		}
 		if i.Unseen > 0 {
 			fmt.Fprintf(w, "last served by %s and seen nowhere: %s\n", i.Instance, names(i.UnseenNodes, i.Unseen))
 		}
--- a/cmd/celeryyard/wait.go
+++ b/cmd/celeryyard/wait.go
@@ -81,10 +81,11 @@
 
 // progress sums up the fleet for version.
 func progress(s *statusView, version uint64) look {
-	nodes, behind, unseen, current := 0, 0, 0, 0
+	nodes, behind, ahead, unseen, current := 0, 0, 0, 0, 0
 	var silent, unknown []string
 	for _, i := range s.Fleet {
 		nodes += i.Nodes
+		ahead += i.Ahead
 		unseen += i.Unseen
 		switch {
 		case !i.Reachable:
@@ -94,6 +95,7 @@
 			behind += i.Nodes
 		case i.Nodes > 0 && uint64(i.LowestVersion) < version:
 			behind += i.Behind
+		case i.Ahead > 0: // the line tells
 		case i.Unseen > 0:
 			unknown = append(unknown, fmt.Sprintf("%d nodes last served by %s are attached nowhere (%s)", i.Unseen, i.Instance, names(i.UnseenNodes, i.Unseen)))
 		default:
@@ -102,6 +104,9 @@
 	}
 	l := look{done: current == len(s.Fleet)}
 	l.line = fmt.Sprintf("version %d: on %d of %d instances with all their nodes; %d of %d nodes behind", version, current, len(s.Fleet), behind, nodes)
+	if ahead > 0 {
+		l.line += fmt.Sprintf("; %d nodes hold a higher version than their instance knows", ahead)
+	}
 	if unseen > 0 {
 		l.line += fmt.Sprintf("; %d nodes attached to no instance that answers", unseen)
 	}
--- a/core/api/api.go
+++ b/core/api/api.go
@@ -115,6 +115,9 @@
 	// Behind counts connected nodes below Version; BehindNodes names at most 20 of them.
 	Behind      int      `json:"behind"`
 	BehindNodes []string `json:"behind_nodes,omitempty"`
+	// Ahead counts connected nodes above Version. It stays above 0 when nodes hold the
+	// configuration of an earlier group, which they keep until Version passes theirs.
+	Ahead int `json:"ahead"`
 	// Unseen counts nodes with an upstream that this instance served last and that
 	// no instance that answered serves now; UnseenNodes names at most 20 of them.
 	// Nodes whose lease is lost are among them until their records are forgotten:
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -229,6 +229,18 @@
 	}
 }
 
+// Guards against a node that holds the version of another group and passes for
+// one that serves what this group accepted.
+func TestStatusCountsNodesAheadOfTheirInstance(t *testing.T) {
+	f := newFleet(t, "cant-a")
+	a := f.control(0, "")
+	r := f.rawNode(0, "n1")
+	r.call(peerapi.NodeHello, &peerapi.Hello{Node: "n1", Services: []string{"*"}, Version: 9}, &peerapi.HelloReply{})
+	if s := status(t, a)[0]; s.Ahead != 1 || s.Nodes != 1 {
+		t.Fatalf("status %+v, want 1 node ahead", s)
+	}
+}
+
 func status(t *testing.T, c *control) []api.InstanceStatus {
 	got := make(chan []api.InstanceStatus, 1)
 	c.distribution.Status(time.Second, func(s []api.InstanceStatus) { got <- s })
--- a/plugin/distribution/status.go
+++ b/plugin/distribution/status.go
@@ -111,6 +111,9 @@
 		if i == 0 || e.held < s.LowestVersion {
 			s.LowestVersion = e.held
 		}
+		if e.held > version {
+			s.Ahead++
+		}
 		if e.held < version {
 			s.Behind++
 			s.BehindNodes = append(s.BehindNodes, node)
