--- a/cmd/celeryyard/main_test.go
+++ b/cmd/celeryyard/main_test.go
@@ -155,6 +155,7 @@
 		{"node behind", func(i *api.InstanceStatus) { i.LowestVersion, i.Behind = 4, 1 }, false},
 		{"instance behind", func(i *api.InstanceStatus) { i.Version, i.LowestVersion = 4, 4 }, false},
 		{"instance silent", func(i *api.InstanceStatus) { i.Reachable = false }, false},
+		{"node of another group", func(i *api.InstanceStatus) { i.LowestVersion, i.Ahead = 9, 2 }, false},
 		{"node between instances", func(i *api.InstanceStatus) { i.Unseen = 1 }, false},
 	} {
 		other := good
@@ -178,6 +179,7 @@
 	}{
 		{[]api.InstanceStatus{good, lost}, false, "b is silent; 2 of the nodes that it served last have not been seen elsewhere (n1, n2)"},
 		{[]api.InstanceStatus{good, {Instance: "b"}}, false, "b is silent; all nodes with an upstream"},
+		{[]api.InstanceStatus{{Instance: "a", Reachable: true, Version: 5, Unseen: 1, UnseenNodes: []string{"n3"}}, good}, false, "1 nodes last served by a are attached nowhere (n3)"},
 		{[]api.InstanceStatus{good, lost, late}, false, ""},
 		{[]api.InstanceStatus{good, lost}, true, ""},
 	} {
