--- a/plugin/experiment/command.go
+++ b/plugin/experiment/command.go
@@ -26,9 +26,8 @@
 	Args     struct {
 		Scenarios []string `positional-arg-name:"SCENARIO"`
 	} `positional-args:"true"`
-	// Plugins and Stdout are set by the program.
-	Plugins Plugins   `no-flag:"true"`
-	Stdout  io.Writer `no-flag:"true"`
+	// Stdout is set by the program.
+	Stdout io.Writer `no-flag:"true"`
 }
 
 // Execute implements flags.Commander.
@@ -41,8 +40,7 @@
 	if err != nil {
 		return errors.Mark(err, load.ErrUsage)
 	}
-	p, err := load.RunJob(kernel.Options{Plugins: []string{"experiment"}, Settings: file, Log: os.Stderr}, "experiment",
-		func(p kernel.Plugin) { p.(*Experiment).s.Plugins = c.Plugins })
+	p, err := load.RunJob(kernel.Options{Plugins: []string{"experiment"}, Settings: file, Log: os.Stderr}, "experiment")
 	if err != nil {
 		return err
 	}
--- a/plugin/experiment/fleet.go
+++ b/plugin/experiment/fleet.go
@@ -52,6 +52,10 @@
 // nodes serve them. The caller calls stop, also after an error.
 func newFleet(e *env, o fleetOptions) (*fleet, error) {
 	f := &fleet{e: e, relays: map[string]*relay.Relay{}, timeouts: 5000}
+	if o.node == nil {
+		// Without callers no call is on its way when a node stops.
+		o.node = map[string]map[string]any{"announce": {"linger": "50ms"}}
+	}
 	services := o.services
 	if services == nil {
 		_, services = layout.Current()
@@ -132,7 +136,7 @@
 
 func (f *fleet) startAll(o fleetOptions) error {
 	for i, p := range f.plan.Controls {
-		c, err := f.e.process(p.Name, f.e.s.Plugins.Control, p.Settings)
+		c, err := f.e.process(p.Name, Programs.Control, p.Settings)
 		if err != nil {
 			return err
 		}
@@ -142,7 +146,7 @@
 		}
 	}
 	for i, p := range f.plan.Nodes {
-		n, err := f.e.process(p.Name, f.e.s.Plugins.Node, p.Settings)
+		n, err := f.e.process(p.Name, Programs.Node, p.Settings)
 		if err != nil {
 			return err
 		}
@@ -155,7 +159,7 @@
 		return nil
 	}
 	for _, p := range f.plan.Upstreams {
-		u, err := f.e.process(p.Name, f.e.s.Plugins.Upstream, p.Settings)
+		u, err := f.e.process(p.Name, Programs.Upstream, p.Settings)
 		if err != nil {
 			return err
 		}
