announce: a stopping node takes no announcement

Cause: an upstream that outlives its node's planned stop repeats its announcement each second; in the 200 ms between the end of the planned stop and the end of the process it was accepted as a new life, and the ending node was announced as ready. Ruled out: the check in the HTTP handler alone, which ran before the job and not under its order. Change: the job that takes the announcement decides, and refuses once the kernel stops (Context.Stopping). Before: go test -run StoppingNode ./test/e2e fails with status 204 after the stop began; after: it passes. Conclusion: the record of a node that ends stays withdrawn.

--- a/kernel/context.go
+++ b/kernel/context.go
@@ -85,6 +85,9 @@
 // Fail ends the program with err. It may be called from any goroutine.
 func (c *Context) Fail(err error) { c.k.fail(errors.Wrap(err, c.Name)) }
 
+// Stopping reports whether the program has begun to stop its plug-ins.
+func (c *Context) Stopping() bool { return c.k.stopping.Load() }
+
 // Go runs a job on the pool. A full queue makes Go wait; it must therefore be
 // called by I/O goroutines and timers, not by jobs. It returns false when the
 // pool is stopped and the job will not run.
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,6 +55,8 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 
+	stopping atomic.Bool
+
 	mu     *rank.Mutex
 	rng    *rand.Rand
 	failed chan error
@@ -210,6 +213,7 @@
 }
 
 func (k *Kernel) stop() {
+	k.stopping.Store(true)
 	k.log.Log(evStopping).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), k.instance.StopTimeout.D())
 	defer cancel()
--- a/plugin/announce/http.go
+++ b/plugin/announce/http.go
@@ -46,13 +46,10 @@
 	if field, reason := u.check(); field != "" {
 		return e.String(http.StatusBadRequest, field+" "+reason+"\n")
 	}
-	a.mu.Lock()
-	stopping := a.leave != nil && a.leave.step != stepDone
-	a.mu.Unlock()
-	if stopping || a.ctx.Err() != nil {
+	taken := make(chan bool, 1)
+	if !a.c.Go(jobKey, func() { taken <- a.put(u) }) || !<-taken {
 		return e.String(http.StatusConflict, "a planned stop is running\n")
 	}
-	a.c.Go(jobKey, func() { a.put(u) })
 	return e.NoContent(http.StatusNoContent)
 }
 
--- a/plugin/announce/plugin.go
+++ b/plugin/announce/plugin.go
@@ -134,13 +134,20 @@
 }
 
 // put sets the upstream. Calling it again with the same description changes
-// nothing; after a planned stop it begins a new life of the upstream.
-func (a *Announce) put(u Upstream) {
+// nothing; after a planned stop of the upstream it begins a new life. It returns
+// false, and nothing has changed, while a planned stop runs and once the node
+// itself stops: an upstream that goes on announcing itself would otherwise get
+// new calls sent to a node that is about to end.
+func (a *Announce) put(u Upstream) bool {
 	now := a.c.Clock.Now()
 	a.mu.Lock()
+	if a.leave != nil && a.leave.step != stepDone || a.c.Stopping() {
+		a.mu.Unlock()
+		return false
+	}
 	if a.upstream == u && a.leave == nil {
 		a.mu.Unlock()
-		return
+		return true
 	}
 	a.upstream, a.leave = u, nil
 	a.probing++
@@ -160,6 +167,7 @@
 	if u.HealthPath != "" {
 		a.probe(u, probing)
 	}
+	return true
 }
 
 // announce sends the record when it has to be announced.
--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -281,3 +283,45 @@
 		t.Errorf("I6: duplicates: %v", r.Duplicates)
 	}
 }
+
+// Guards against an upstream that outlives its node's planned stop and, by
+// announcing itself again, gets the ending node new calls.
+func TestStoppingNodeTakesNoAnnouncement(t *testing.T) {
+	f := startFleet(t, false)
+	const at = 1
+	plan := f.Plan.Nodes[at]
+	url := "http://" + plan.Settings["announce"].(map[string]any)["listen"].(string) + "/v1/upstream"
+	upstream := f.Plan.Upstreams[at].Settings["standin"].(map[string]any)["listen"].(string)
+	body := fmt.Sprintf(`{"service": %q, "address": %q, "slots": 9}`, plan.Service, upstream)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		f.Nodes[at].Stop()
+	}()
+	refused := 0
+	for running := true; running; time.Sleep(5 * time.Millisecond) {
+		select {
+		case <-stopped:
+			running = false
+		default:
+		}
+		req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Content-Type", "application/json")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue // the node has ended
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusConflict {
+			refused++
+		} else if refused > 0 {
+			t.Fatalf("announcement answered with status %d after the stop began", res.StatusCode)
+		}
+	}
+	if refused == 0 {
+		t.Fatal("no announcement met the planned stop")
+	}
+}
