operator: a control instance is ready once it can serve

Cause: /readyz of a control instance answered ready at once; it registered no check. Change: not ready while it holds no configuration and has not reached the quorum since its start; a partitioned instance that holds one stays ready. Conclusion: start scripts can wait for it.

--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -19,6 +19,7 @@
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/settings"
+	"github.com/celeryyard/celeryyard/plugin/admin"
 	"github.com/celeryyard/celeryyard/plugin/catalog"
 )
 
@@ -67,10 +68,22 @@
 	}
 	o.fleet, _ = kernel.Find[api.Fleet](c, "distribution")
 	o.discovery, _ = kernel.Find[api.Discovery](c, "discovery")
+	if a, ok := kernel.Find[*admin.Admin](c, "admin"); ok {
+		a.Ready(o.ready)
+	}
 	o.routes()
 	return o
 }
 
+// ready tells why the instance can serve neither operators nor nodes. An
+// instance that is cut off from the quorum but holds a configuration is ready.
+func (o *Operator) ready() error {
+	if o.catalog.Version() == 0 && o.log.Status().Confirmed.IsZero() {
+		return errors.New("the instance holds no configuration and has not reached the quorum since its start")
+	}
+	return nil
+}
+
 func (o *Operator) routes() {
 	o.echo.HTTPErrorHandler = writeError
 	g := o.echo.Group("/v1", o.authenticate)
--- a/plugin/operator/setup.go
+++ b/plugin/operator/setup.go
@@ -12,7 +12,7 @@
 	kernel.Register(kernel.Registration{
 		Name:  "operator",
 		Needs: []string{"quorum", "catalog"},
-		After: []string{"distribution", "discovery"},
+		After: []string{"admin", "distribution", "discovery"},
 		Settings: func() any {
 			return &Settings{
 				DecisionTimeout: settings.Duration(10 * time.Second),
