--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -126,6 +126,7 @@
 		if !n.diskless {
 			n.core.Found(s.local(n), config)
 			s.drive(n)
+			s.sync(n, true) // a group that is never formed has nothing to lose
 		}
 	}
 	return s
