--- a/plugin/experiment/churn.go
+++ b/plugin/experiment/churn.go
@@ -25,8 +25,8 @@
 }
 
 // churn announces other slots of one upstream after another until ctx ends, and
-// returns how many announcements were taken.
-func (f *fleet) churn(ctx context.Context, perSecond int) int {
+// returns how many announcements were taken. first is called after the first one.
+func (f *fleet) churn(ctx context.Context, perSecond int, first func()) int {
 	client := httponce.New(1)
 	defer client.Close()
 	tick := time.NewTicker(time.Second / time.Duration(perSecond))
@@ -39,7 +39,9 @@
 		case <-tick.C:
 		}
 		if f.announce(ctx, client, i%len(f.nodes), 9+i/len(f.nodes)%2) == nil {
-			taken++
+			if taken++; taken == 1 {
+				first()
+			}
 		}
 	}
 }
--- a/plugin/experiment/controlbytes.go
+++ b/plugin/experiment/controlbytes.go
@@ -180,7 +180,7 @@
 	used, err := f.perNode(func() error {
 		ctx, cancel := context.WithTimeout(f.e.ctx, f.e.s.Duration.D())
 		defer cancel()
-		events = f.churn(ctx, 50)
+		events = f.churn(ctx, 50, func() {})
 		return f.e.sleep(500 * time.Millisecond)
 	})
 	if err != nil {
--- a/plugin/experiment/convergence.go
+++ b/plugin/experiment/convergence.go
@@ -136,17 +136,24 @@
 	f.e.add(kase, v.name, "convergence max", q.Max, "ms", 0, n)
 }
 
+// churnStart bounds the wait for the first endpoint event.
+const churnStart = 5 * time.Second
+
 // underChurn measures while endpoints change all the time.
 func (f *fleet) underChurn(n int, v variant) error {
 	const perSecond = 50
 	ctx, cancel := context.WithCancel(f.e.ctx)
-	stopped := make(chan int, 1)
-	go func() { stopped <- f.churn(ctx, perSecond) }()
+	defer cancel()
+	stopped, running := make(chan int, 1), make(chan struct{})
+	go func() { stopped <- f.churn(ctx, perSecond, func() { close(running) }) }()
+	select {
+	case <-running:
+	case <-time.After(churnStart):
+		return errors.Newf("no endpoint event was taken by a node within %v", churnStart)
+	}
 	err := f.measured(fmt.Sprintf("%d nodes, %d endpoint events/s", n, perSecond), v, anyTarget, f.e.s.Changes)
 	cancel()
-	if events := <-stopped; err == nil && events == 0 {
-		return errors.New("no endpoint event was taken by a node")
-	}
+	<-stopped
 	return err
 }
 
--- a/plugin/experiment/cost.go
+++ b/plugin/experiment/cost.go
@@ -81,7 +81,7 @@
 	defer cancel()
 	stopped := make(chan struct{})
 	go func() {
-		f.churn(ctx, 5)
+		f.churn(ctx, 5, func() {})
 		close(stopped)
 	}()
 	defer func() { <-stopped }()
--- a/plugin/load/command.go
+++ b/plugin/load/command.go
@@ -76,7 +76,7 @@
 	if c.CheckConfig {
 		return errors.Mark(kernel.Check(o), ErrUsage)
 	}
-	p, err := RunJob(o, "load", nil)
+	p, err := RunJob(o, "load")
 	if err != nil {
 		return err
 	}
@@ -91,17 +91,13 @@
 }
 
 // RunJob runs a kernel until its plug-in name, which implements Job, is done or
-// a signal arrives, and returns the plug-in. prepare, unless nil, is called with
-// it before the start.
-func RunJob(o kernel.Options, name string, prepare func(p kernel.Plugin)) (kernel.Plugin, error) {
+// a signal arrives, and returns the plug-in.
+func RunJob(o kernel.Options, name string) (kernel.Plugin, error) {
 	k, err := kernel.New(o)
 	if err != nil {
 		return nil, errors.Mark(err, ErrUsage)
 	}
 	p := k.Service(name)
-	if prepare != nil {
-		prepare(p)
-	}
 	var g run.Group
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return k.Run(ctx) }, func(error) { cancel() })
