discovery: test of a paused process; more random runs

Cause: three mechanisms of the table were seen failing only after 2000 to 2300 random runs, and the suite ran 1000. Change: 3000 runs; a test of a process that stood still; the sending side towards an instance is named remote.

--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -12,9 +12,9 @@
 	"github.com/celeryyard/celeryyard/plugin/peer"
 )
 
-// mate is the sending side towards another control instance. At most one
+// remote is the sending side towards another control instance. At most one
 // message is unanswered; changes gather meanwhile. Guarded by Discovery.mu.
-type mate struct {
+type remote struct {
 	name string
 	link *peer.Link
 	conn *rpc.Conn
@@ -36,9 +36,9 @@
 }
 
 func (d *Discovery) connect(m peer.Member) {
-	t := &mate{name: m.Name, dirty: map[string]bool{}}
+	t := &remote{name: m.Name, dirty: map[string]bool{}}
 	d.mu.Lock()
-	d.mates[m.Name] = t
+	d.remotes[m.Name] = t
 	d.mu.Unlock()
 	link := d.peer.Connect(m.Address, func(c *rpc.Conn) {
 		if c.Peer != t.name {
@@ -59,7 +59,7 @@
 // onClose runs for every connection of the process.
 func (d *Discovery) onClose(c *rpc.Conn) {
 	d.mu.Lock()
-	if t := d.mates[c.Peer]; t != nil && t.conn == c {
+	if t := d.remotes[c.Peer]; t != nil && t.conn == c {
 		t.conn = nil
 	}
 	d.mu.Unlock()
@@ -70,7 +70,7 @@
 func (d *Discovery) Conn(instance string) *rpc.Conn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if t := d.mates[instance]; t != nil {
+	if t := d.remotes[instance]; t != nil {
 		return t.conn
 	}
 	return nil
@@ -78,8 +78,8 @@
 
 func (d *Discovery) sendAll(heartbeat bool) {
 	d.mu.Lock()
-	list := make([]*mate, 0, len(d.mates))
-	for _, t := range d.mates {
+	list := make([]*remote, 0, len(d.remotes))
+	for _, t := range d.remotes {
 		list = append(list, t)
 	}
 	d.mu.Unlock()
@@ -90,7 +90,7 @@
 
 // send sends what the instance has not been told of; with heartbeat, an empty
 // message when the last one is long ago.
-func (d *Discovery) send(t *mate, heartbeat bool) {
+func (d *Discovery) send(t *remote, heartbeat bool) {
 	released, now := d.released(), d.c.Clock.Now()
 	d.mu.Lock()
 	due := t.resync || len(t.dirty) > 0 || heartbeat && now.Sub(t.sent) >= d.s.Heartbeat.D()
@@ -115,12 +115,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.s.PeerTimeout.D())
 	conn.Go(ctx, method, m, func(raw []byte, err error) {
 		cancel()
-		d.c.Go("discovery/mate/"+t.name, func() { d.answered(t, conn, gen, raw, err) })
+		d.c.Go("discovery/remote/"+t.name, func() { d.answered(t, conn, gen, raw, err) })
 	})
 }
 
 // answered handles the answer to a message.
-func (d *Discovery) answered(t *mate, conn *rpc.Conn, gen uint64, raw []byte, err error) {
+func (d *Discovery) answered(t *remote, conn *rpc.Conn, gen uint64, raw []byte, err error) {
 	var r peerapi.RecordsReply
 	if err == nil {
 		err = json.Unmarshal(raw, &r)
@@ -243,7 +243,7 @@
 func (d *Discovery) release() {
 	d.mu.Lock()
 	spread := d.shown
-	for _, t := range d.mates {
+	for _, t := range d.remotes {
 		if t.conn != nil {
 			spread = min(spread, t.acked)
 		}
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -52,7 +52,7 @@
 	// mu guards everything below.
 	mu      *rank.Mutex
 	table   *table
-	mates   map[string]*mate
+	remotes map[string]*remote
 	pending bool // a flush is scheduled
 	// gen counts flushes with changes of own records; shown is the last one that
 	// the watchers were told of.
@@ -71,7 +71,7 @@
 func newDiscovery(c *kernel.Context) *Discovery {
 	d := &Discovery{
 		c: c, s: c.Settings.(*Settings), peer: kernel.Use[*peer.Peer](c, "peer"), trace: trace.Of(c),
-		started: c.Clock.Now(), mu: rank.New(rank.Discovery), mates: map[string]*mate{},
+		started: c.Clock.Now(), mu: rank.New(rank.Discovery), remotes: map[string]*remote{},
 		released: func() resource.Version { return 0 }, reported: func(resource.Version) {},
 		announced: c.Metrics.NewCounter("celeryyard_discovery_announcements_total"),
 		losses:    c.Metrics.NewCounter("celeryyard_discovery_lost_leases_total"),
@@ -194,7 +194,7 @@
 	clear(d.table.dirty)
 	if len(d.table.changed) > 0 {
 		d.gen++
-		for _, m := range d.mates {
+		for _, m := range d.remotes {
 			for node := range d.table.changed {
 				m.dirty[node] = true
 			}
--- a/plugin/discovery/table_test.go
+++ b/plugin/discovery/table_test.go
@@ -237,7 +237,7 @@
 // late, lost or repeated, instances restart and nodes move between them.
 func TestTablesConverge(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(30)
-	params.MinSuccessfulTests = 1000
+	params.MinSuccessfulTests = 3000
 	props := gopter.NewProperties(params)
 	props.Property("tables converge", prop.ForAllNoShrink(func(seed int64, ops []int) (bool, error) {
 		m := newMesh(seed)
@@ -291,3 +291,18 @@
 		t.Fatalf("instance that speaks again: %+v", set)
 	}
 }
+
+// Guards against an instance that stood still and then takes every lease for
+// lost, although the messages that renew them wait to be read.
+func TestPauseOfTheProcessEndsNoLease(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	tab := newTable("a", []string{"b"})
+	tab.sync(&peerapi.Records{Instance: "b", Epoch: 1, Seq: 1}, now)
+	tab.announce(resource.Endpoint{Node: "n", Service: "s", Incarnation: 1, Revision: 1, State: resource.StateReady}, now)
+	tab.detach("n", 1, now)
+	tab.pause(time.Minute)
+	now = now.Add(time.Minute + time.Second)
+	if lost, silent := tab.expire(now, grace, tombstones), tab.silence(now, 4*time.Second); len(lost)+len(silent) > 0 {
+		t.Fatalf("after a pause of a minute: lost %v, silent %v", lost, silent)
+	}
+}
