distribution: sets of the same session follow an incomplete table

Cause: while an instance's endpoint table is incomplete after its start, nodes kept every set they held, those of the same session too; a fresh fleet saw new endpoints only after settle_timeout (5 s). Change: only a set that the node brought along is kept; one that it got in this session follows the table. Before: a node of a fresh fleet kept an empty set for up to 5 s; after: go test ./plugin/distribution and the e2e tests pass. Conclusion: the protection covers what the node may know better, no more.

--- a/plugin/distribution/session.go
+++ b/plugin/distribution/session.go
@@ -25,6 +25,8 @@
 	digest uint64
 	// doubtful makes the next update carry the whole set.
 	doubtful bool
+	// ours tells that the node got the set in this session.
+	ours bool
 }
 
 // session decides what a node is sent. Callers serialise its methods.
@@ -169,10 +171,11 @@
 }
 
 // planSet adds one set to the update when the node's one differs. While the
-// table is incomplete, a node keeps the set that it holds.
+// table is incomplete, a node keeps a set that it brought along: it may know more
+// than this instance. A set of this session follows the table.
 func (s *session) planSet(service string, o offer, u *peerapi.Update, f *flight) {
 	has, held := s.sets[service]
-	if !o.settled && held && !has.doubtful {
+	if !o.settled && held && !has.doubtful && !has.ours {
 		return
 	}
 	now := o.set(service)
@@ -212,7 +215,7 @@
 	}
 	s.full, s.rejects = s.full && !f.full, 0
 	for service, digest := range f.sets {
-		s.sets[service] = heldSet{digest: digest}
+		s.sets[service] = heldSet{digest: digest, ours: true}
 	}
 	for _, service := range f.drop {
 		delete(s.sets, service)
