test/e2e: scenarios begin when every service answers

Ruled out: the settling of endpoint tables (failures stayed with it mended). Change: Fleet.WaitServing, which the demonstration already had, comes first. Conclusion: checks and bounds are unchanged; the precondition is now stated.

--- a/test/e2e/demo_test.go
+++ b/test/e2e/demo_test.go
@@ -66,7 +66,7 @@
 	d.f.Start()
 	d.f.Configure()
 	d.o = harness.Observe(d.f.Nodes)
-	d.warm()
+	d.f.WaitServing()
 	d.line("fleet of %d control instances and %d nodes is in service after %.1f s", len(d.f.Controls), len(d.f.Nodes), time.Since(started).Seconds())
 	done := make(chan *load.Result, 1)
 	go func() {
@@ -86,21 +86,6 @@
 
 func (d *demo) line(format string, args ...any) { fmt.Fprintf(&d.report, format+"\n", args...) }
 
-// warm waits until every service answers through every node.
-func (d *demo) warm() {
-	d.t.Helper()
-	harness.Wait(d.t, 20*time.Second, "every service answers through every node", func() bool {
-		for _, s := range d.f.Plan.Spec.Services {
-			for _, node := range d.f.Plan.Nodes {
-				if !harness.Answers(node.Callers, s.Host()) {
-					return false
-				}
-			}
-		}
-		return true
-	})
-}
-
 // load calls all services through all nodes but the one that is drained, which
 // would refuse its callers' connections after its stop.
 func (d *demo) load() *load.Result {
--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -36,6 +36,7 @@
 	f := &fleet{t: t, Fleet: harness.NewFleet(t, layout.Spec{Zones: demoZones(), Services: services, Voters: 3, Seed: 1}, links, 0)}
 	f.Start()
 	f.Configure()
+	f.WaitServing()
 	f.o = harness.Observe(f.Nodes)
 	t.Cleanup(func() {
 		f.o.Stop()
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -17,7 +17,7 @@
 	f.Start()
 	f.Configure()
 	d.o = harness.Observe(f.Nodes)
-	d.warm()
+	d.f.WaitServing()
 	return f, d
 }
 
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -188,6 +188,21 @@
 	WaitReady(f.t, 20*time.Second, f.Nodes...)
 }
 
+// WaitServing waits until every service answers through every node.
+func (f *Fleet) WaitServing() {
+	f.t.Helper()
+	Wait(f.t, 20*time.Second, "every service answers through every node", func() bool {
+		for _, s := range f.Plan.Spec.Services {
+			for _, node := range f.Plan.Nodes {
+				if !Answers(node.Callers, s.Host()) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
 func (f *Fleet) accepted(organisation string, args ...string) string {
 	f.t.Helper()
 	out, code := f.Command(organisation, args...)
