pool: a submitter runs its job in the place of a free worker

Change: Pool.TryRun runs the job on the submitting goroutine when a worker is free and the discipline would start it now; bounds and order are unchanged.

--- a/core/httpcall/ticket.go
+++ b/core/httpcall/ticket.go
@@ -29,13 +29,15 @@
 
 var timers = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
 
-// Run runs f on a worker of the pool and waits for its end. An error means that
+// Run runs f on a worker of the pool, or in the place of a free one on the calling
+// goroutine, and waits for its end. An error means that
 // f did not run and never will: that of the pool or its queue, that of ctx, or
 // pool.ErrExpired once the deadline has passed.
 func Run(ctx context.Context, p *pool.Pool, group string, deadline time.Time, f func()) error {
 	t := &ticket{run: f, done: make(chan struct{}, 1)}
 	t.job = pool.Job{Group: group, Deadline: deadline, Run: t.start, Abandon: t.abandon}
-	if err := p.TrySubmit(&t.job); err != nil {
+	ran, err := p.TryRun(&t.job)
+	if ran || err != nil {
 		return err
 	}
 	timer := timers.Get().(*time.Timer)
@@ -44,7 +46,7 @@
 		timer.Stop()
 		timers.Put(timer)
 	}()
-	err := pool.ErrExpired
+	err = pool.ErrExpired
 	select {
 	case <-t.done:
 		return t.err
--- a/kernel/pool/pool.go
+++ b/kernel/pool/pool.go
@@ -111,6 +111,40 @@
 	return p.push(j)
 }
 
+// TryRun runs the job on the calling goroutine, in the place of a worker, when a
+// worker is free and the queue discipline would start the job now; it returns
+// true after the job has ended. Otherwise it is TrySubmit and returns false. The
+// number of running jobs never exceeds Workers. It saves the two switches
+// between goroutines that a hand-over to an idle worker costs.
+// It must not be called on a worker of the same pool.
+func (p *Pool) TryRun(j *Job) (ran bool, err error) {
+	p.mu.Lock()
+	if p.closed || p.running >= p.opts.Workers || p.opts.Queue.Len() > 0 {
+		defer p.mu.Unlock()
+		return false, p.push(j)
+	}
+	if err := p.opts.Queue.Push(j, p.opts.Now()); err != nil {
+		p.mu.Unlock()
+		return false, err
+	}
+	next, dropped := p.opts.Queue.Pop(p.opts.Now())
+	if next != nil {
+		p.running++
+		p.wg.Add(1) // Stop waits for this job as for a worker
+	}
+	p.mu.Unlock()
+	for _, d := range dropped {
+		abandon(d, ErrExpired)
+	}
+	if next == nil {
+		return false, nil
+	}
+	defer p.wg.Done()
+	p.run(next)
+	p.finish(next)
+	return true, nil
+}
+
 // Submit queues the job and waits for room while the queue is full. It returns
 // ErrClosed, the error of ctx, or the error of the queue discipline.
 // It must not be called on a worker of the same pool.
@@ -205,7 +239,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
-		j, dropped := p.opts.Queue.Pop(p.opts.Now())
+		var j *Job
+		var dropped []*Job
+		if p.running < p.opts.Workers { // a submitter may run a job in a worker's place
+			j, dropped = p.opts.Queue.Pop(p.opts.Now())
+		}
 		if j != nil {
 			p.running++
 		}
--- a/kernel/pool/pool_test.go
+++ b/kernel/pool/pool_test.go
@@ -63,6 +63,61 @@
 	must(t, p.Stop(context.Background()))
 }
 
+// Guards against jobs that submitters run in a worker's place beyond the number
+// of workers, that are lost, or that Stop does not wait for.
+func TestTryRunKeepsTheNumberOfWorkers(t *testing.T) {
+	const workers, submitters, each = 3, 12, 200
+	p := New(Options{Workers: workers, Queue: NewKeyedFIFO(submitters)})
+	var mu sync.Mutex
+	running, most, ended, lent := 0, 0, 0, 0
+	job := func() {
+		mu.Lock()
+		running++
+		most = max(most, running)
+		mu.Unlock()
+		time.Sleep(50 * time.Microsecond)
+		mu.Lock()
+		running--
+		ended++
+		mu.Unlock()
+	}
+	accepted := 0
+	var wg sync.WaitGroup
+	for range submitters {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for range each {
+				done := make(chan struct{})
+				ran, err := p.TryRun(&Job{Run: func() { job(); close(done) }})
+				if errors.Is(err, ErrFull) {
+					continue
+				}
+				if err != nil {
+					t.Error(err)
+				}
+				<-done
+				mu.Lock()
+				if ran {
+					lent++
+				}
+				mu.Unlock()
+				mu.Lock()
+				accepted++
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	must(t, p.Stop(context.Background()))
+	if most > workers || ended != accepted || lent == 0 {
+		t.Fatalf("at most %d jobs ran at once with %d workers; %d accepted, %d ended, %d by submitters", most, workers, accepted, ended, lent)
+	}
+	if _, err := p.TryRun(&Job{Run: func() { t.Error("ran after the stop") }}); !errors.Is(err, ErrClosed) {
+		t.Fatalf("after the stop: %v", err)
+	}
+}
+
 // Guards against a panic that kills a worker or goes unreported.
 func TestPanicIsReportedAndWorkerGoesOn(t *testing.T) {
 	got := make(chan any, 1)
