tests: ports and freezes that do not race

A restarted kernel found its port taken by an outgoing connection, whose ports come from the same range on 127.0.0.1; and a frozen process answered, since SIGSTOP only asks for the stop and a thread on another core ran on for a moment. Ruled out: the quorum and the stand-in, whose logs show nothing unusual. Change: each test program listens on a loopback address of its own, and Freeze waits until all threads are stopped. The checks are unchanged. Conclusion: the causes are removed rather than the tests repeated.

--- a/kernel/kerneltest/kerneltest.go
+++ b/kernel/kerneltest/kerneltest.go
@@ -3,10 +3,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -30,15 +32,39 @@
 	return path
 }
 
-// FreeAddress returns a loopback address whose port was free a moment ago.
+var ports struct {
+	sync.Mutex
+	taken map[string]bool
+}
+
+// ip is the loopback address of this test program. Outgoing connections take
+// their ports on 127.0.0.1 and other test programs have other addresses, so
+// neither takes a port between its choice and its use, or during a restart.
+var ip = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, 1+os.Getpid()&0xff%254)
+
+// FreeAddress returns a free loopback address IP:port. No two calls in one test
+// program return the same one.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.taken == nil {
+		ports.taken = map[string]bool{}
+	}
+	for range 100 {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := l.Addr().String()
+		_ = l.Close()
+		if !ports.taken[a] {
+			ports.taken[a] = true
+			return a
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port found")
+	return ""
 }
 
 // Start runs plug-ins with settings text in this process. The returned function
--- a/test/harness/build.go
+++ b/test/harness/build.go
@@ -1,19 +1,15 @@
 package harness
 
 import (
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
 	"sync"
 	"testing"
-)
 
-// ip is the loopback address on which all processes listen. Outgoing loopback
-// connections have the source 127.0.0.1, so their local ports never take the
-// port of a process that is being restarted.
-const ip = "127.1.0.1"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+)
 
 var build struct {
 	once sync.Once
@@ -59,32 +55,9 @@
 	return code
 }
 
-var ports struct {
-	sync.Mutex
-	taken map[string]bool
-}
-
 // Address returns a free loopback address IP:port. No two calls in one test
 // program return the same one.
 func Address(t testing.TB) string {
 	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	if ports.taken == nil {
-		ports.taken = map[string]bool{}
-	}
-	for range 100 {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		a := l.Addr().String()
-		_ = l.Close()
-		if !ports.taken[a] {
-			ports.taken[a] = true
-			return a
-		}
-	}
-	t.Fatal("no free port found")
-	return ""
+	return kerneltest.FreeAddress(t)
 }
--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -54,7 +54,7 @@
 // Guards against a relay that loses or mixes bytes, or lets bytes through while
 // it is cut.
 func TestRelayCutsAndHeals(t *testing.T) {
-	echo, err := net.Listen("tcp", ip+":0")
+	echo, err := net.Listen("tcp", Address(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -113,8 +113,28 @@
 	return p.code
 }
 
-// Freeze stops the process from running; Thaw lets it go on.
-func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+// Freeze stops the process from running and waits until it has stopped: the
+// signal only asks for it, and a thread on another core may answer a moment
+// longer. Thaw lets the process go on.
+func (p *Process) Freeze() {
+	p.t.Helper()
+	p.signal(syscall.SIGSTOP)
+	Wait(p.t, 10*time.Second, p.Name+" is frozen", func() bool { return !p.Running() || p.frozen() })
+}
+
+// frozen reports whether all threads are stopped.
+func (p *Process) frozen() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	for _, name := range threads {
+		b, readErr := os.ReadFile(name)
+		// The state follows the program's name, which stands in parentheses.
+		_, state, found := strings.Cut(string(b), ") ")
+		if readErr == nil && (!found || state[0] != 'T') {
+			return false
+		}
+	}
+	return err == nil && len(threads) > 0
+}
 
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
