kernel, settings: one place for serving HTTP and checking addresses

Change: settings.Address, settings.OptionalAddress, kernel Context.Serve. Conclusion: error texts and behaviour are unchanged.

--- a/kernel/context.go
+++ b/kernel/context.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -88,6 +90,16 @@
 // Stopping reports whether the program has begun to stop its plug-ins.
 func (c *Context) Stopping() bool { return c.k.stopping.Load() }
 
+// Serve serves HTTP on l in a goroutine of its own until the server is shut
+// down. Any other end of the server ends the program.
+func (c *Context) Serve(s *http.Server, l net.Listener) {
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			c.Fail(err)
+		}
+	}()
+}
+
 // Go runs a job on the pool. A full queue makes Go wait; it must therefore be
 // called by I/O goroutines and timers, not by jobs. It returns false when the
 // pool is stopped and the job will not run.
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -57,6 +58,22 @@
 	return &FieldError{Field: field, Reason: fmt.Sprintf(format, args...)}
 }
 
+// Address checks that value is IP:port and returns a FieldError otherwise.
+func Address(field, value string) error {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		return Invalid(field, "%q is not IP:port", value)
+	}
+	return nil
+}
+
+// OptionalAddress is Address for a field that may be empty.
+func OptionalAddress(field, value string) error {
+	if value == "" {
+		return nil
+	}
+	return Address(field, value)
+}
+
 // Validator is implemented by settings that check more than types. Validate
 // returns a FieldError or nil.
 type Validator interface{ Validate() error }
--- a/plugin/admin/plugin.go
+++ b/plugin/admin/plugin.go
@@ -54,11 +54,7 @@
 		return errors.Wrap(err, "listen for administration")
 	}
 	a.server = &http.Server{Handler: a.echo, ReadHeaderTimeout: readHeaderTimeout}
-	go func() {
-		if err := a.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			a.c.Fail(err)
-		}
-	}()
+	a.c.Serve(a.server, l)
 	return nil
 }
 
--- a/plugin/admin/setup.go
+++ b/plugin/admin/setup.go
@@ -1,8 +1,6 @@
 package admin
 
 import (
-	"net/netip"
-
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/settings"
 )
@@ -23,11 +21,5 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
-	if s.Listen == "" {
-		return nil
-	}
-	if _, err := netip.ParseAddrPort(s.Listen); err != nil {
-		return settings.Invalid("listen", "%q is not IP:port", s.Listen)
-	}
-	return nil
+	return settings.OptionalAddress("listen", s.Listen)
 }
--- a/plugin/announce/http.go
+++ b/plugin/announce/http.go
@@ -29,11 +29,7 @@
 	e.PUT("/v1/upstream", a.putUpstream)
 	e.DELETE("/v1/upstream", a.deleteUpstream)
 	a.server = &http.Server{Handler: e, ReadTimeout: readTimeout}
-	go func() {
-		if err := a.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			a.c.Fail(err)
-		}
-	}()
+	a.c.Serve(a.server, l)
 	return nil
 }
 
--- a/plugin/announce/setup.go
+++ b/plugin/announce/setup.go
@@ -85,15 +85,11 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
-	if s.Listen != "" {
-		if _, err := netip.ParseAddrPort(s.Listen); err != nil {
-			return settings.Invalid("listen", "%q is not IP:port", s.Listen)
-		}
+	if err := settings.OptionalAddress("listen", s.Listen); err != nil {
+		return err
 	}
-	if s.Address != "" {
-		if _, err := netip.ParseAddrPort(s.Address); err != nil {
-			return settings.Invalid("address", "%q is not IP:port", s.Address)
-		}
+	if err := settings.OptionalAddress("address", s.Address); err != nil {
+		return err
 	}
 	if s.Upstream != (Upstream{}) {
 		if field, reason := s.Upstream.check(); field != "" {
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -106,11 +106,7 @@
 	}
 	in.c.Every("inbound/idle", idleCheck, func() { in.client.CloseIdle(func(string) bool { return false }) })
 	in.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
-	go func() {
-		if err := in.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			in.c.Fail(err)
-		}
-	}()
+	in.c.Serve(in.server, l)
 	return nil
 }
 
--- a/plugin/inbound/setup.go
+++ b/plugin/inbound/setup.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/celeryyard/celeryyard/kernel"
@@ -44,8 +43,8 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
-	if _, err := netip.ParseAddrPort(s.Listen); s.Listen != "" && err != nil {
-		return settings.Invalid("listen", "%q is not IP:port", s.Listen)
+	if err := settings.OptionalAddress("listen", s.Listen); err != nil {
+		return err
 	}
 	switch {
 	case s.QueuePerSlot < 1 || s.QueuePerSlot > 64:
--- a/plugin/load/setup.go
+++ b/plugin/load/setup.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
 	"github.com/celeryyard/celeryyard/kernel"
@@ -104,8 +103,8 @@
 func (s *Settings) Validate() error {
 	for field, list := range map[string][]string{"nodes": s.Nodes, "reports": s.Reports} {
 		for i, a := range list {
-			if _, err := netip.ParseAddrPort(a); err != nil {
-				return settings.Invalid(fmt.Sprintf("%s/%d", field, i), "%q is not IP:port", a)
+			if err := settings.Address(fmt.Sprintf("%s/%d", field, i), a); err != nil {
+				return err
 			}
 		}
 	}
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -115,11 +115,7 @@
 		Handler: o.echo, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
 		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	go func() {
-		if err := o.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			o.c.Fail(err)
-		}
-	}()
+	o.c.Serve(o.server, l)
 	return nil
 }
 
--- a/plugin/operator/setup.go
+++ b/plugin/operator/setup.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/celeryyard/celeryyard/kernel"
@@ -62,8 +61,8 @@
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
 	if s.Listen != "" {
-		if _, err := netip.ParseAddrPort(s.Listen); err != nil {
-			return settings.Invalid("listen", "%q is not IP:port", s.Listen)
+		if err := settings.Address("listen", s.Listen); err != nil {
+			return err
 		}
 		if s.TokensFile == "" {
 			return settings.Invalid("tokens_file", "must not be empty when listen is set")
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -102,11 +102,7 @@
 	o.server = &http.Server{Handler: o, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: o.s.CallerIdle.D()}
 	o.c.Every("outbound/idle", idleCheck, func() { o.client.CloseIdle(func(string) bool { return false }) })
 	o.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
-	go func() {
-		if err := o.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			o.c.Fail(err)
-		}
-	}()
+	o.c.Serve(o.server, l)
 	return nil
 }
 
--- a/plugin/outbound/setup.go
+++ b/plugin/outbound/setup.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/celeryyard/celeryyard/kernel"
@@ -42,8 +41,8 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
-	if _, err := netip.ParseAddrPort(s.Listen); s.Listen != "" && err != nil {
-		return settings.Invalid("listen", "%q is not IP:port", s.Listen)
+	if err := settings.OptionalAddress("listen", s.Listen); err != nil {
+		return err
 	}
 	switch {
 	case s.Workers < 1 || s.Workers > 4096:
--- a/plugin/peer/setup.go
+++ b/plugin/peer/setup.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/celeryyard/celeryyard/core/rpc"
@@ -55,15 +54,13 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
-	if s.Listen != "" {
-		if _, err := netip.ParseAddrPort(s.Listen); err != nil {
-			return settings.Invalid("listen", "%q is not IP:port", s.Listen)
-		}
+	if err := settings.OptionalAddress("listen", s.Listen); err != nil {
+		return err
 	}
 	seen := map[string]bool{}
 	for i, m := range s.Instances {
-		if _, err := netip.ParseAddrPort(m.Address); err != nil {
-			return settings.Invalid(field("instances", i, "address"), "%q is not IP:port", m.Address)
+		if err := settings.Address(field("instances", i, "address"), m.Address); err != nil {
+			return err
 		}
 		if m.Name == "" || seen[m.Name] {
 			return settings.Invalid(field("instances", i, "name"), "%q is empty or used twice", m.Name)
--- a/plugin/standin/setup.go
+++ b/plugin/standin/setup.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/celeryyard/celeryyard/kernel"
@@ -125,8 +124,8 @@
 		if a == "" && field != "listen" {
 			continue
 		}
-		if _, err := netip.ParseAddrPort(a); err != nil {
-			return settings.Invalid(field, "%q is not IP:port", a)
+		if err := settings.Address(field, a); err != nil {
+			return err
 		}
 	}
 	switch {
