--- a/plugin/experiment/env.go
+++ b/plugin/experiment/env.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,11 @@
 // stopLimit bounds the stop of one kernel, beyond its own stop timeout.
 const stopLimit = 35 * time.Second
 
+// ip is the loopback address of this process's listeners. Outgoing connections
+// have the source 127.0.0.1 and other runs have other addresses, so neither takes
+// a port between its choice and its use.
+var ip = fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>16&0x3f, os.Getpid()>>8&0xff, 1+os.Getpid()&0xff%254)
+
 // env is what a scenario works with. It belongs to one goroutine.
 type env struct {
 	ctx      context.Context
@@ -41,8 +47,7 @@
 		e.taken = map[string]bool{}
 	}
 	for range 100 {
-		// Outgoing connections have the source 127.0.0.1 and so never take the port.
-		l, err := net.Listen("tcp", "127.1.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			break
 		}
@@ -53,7 +58,7 @@
 			return a
 		}
 	}
-	return "127.1.0.1:0" // the listener's own error tells more
+	return ip + ":0" // the listener's own error tells more
 }
 
 // sleep waits for d and returns an error when the run is being stopped.
