test/e2e: a rolling restart waits until the upstream takes calls again

The test stopped the next upstream as soon as the node of the last one was ready; the upstream itself is announced as ready about 1 s later (logged by the test: 1, 973, 994, 988, 988 ms), so on a slow machine all three endpoints of a service were away at a time. Not ruled out by a trace: another cause of the same 503. Change: the test waits for celeryyard_announce_ready, as an operator does, logs the time, and keeps the load up for 30 s instead of 25 s. No call may fail, as before.

--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -262,7 +262,7 @@
 		defer close(done)
 		r, _ := f.Load("rolling", map[string]any{
 			"nodes": []string{callers}, "reports": f.Reports(), "organisations": f.Sources(),
-			"rate": 100, "duration": "25s", "seed": 1, "run": "rolling",
+			"rate": 100, "duration": "30s", "seed": 1, "run": "rolling",
 		})
 		done <- r
 	}()
@@ -272,6 +272,13 @@
 		f.Nodes[i].Start()
 		f.Upstreams[i].Start()
 		harness.WaitReady(t, recovery, f.Nodes[i])
+		// As an operator does: the next one is stopped when this one takes calls again.
+		began := time.Now()
+		harness.Wait(t, recovery, "restarted upstream is announced as ready", func() bool {
+			v, ok := f.Nodes[i].Metric("celeryyard_announce_ready")
+			return ok && v == 1
+		})
+		t.Logf("%s: upstream ready %v after its node", f.Nodes[i].Name, time.Since(began).Round(time.Millisecond))
 	}
 	r := <-done
 	if r == nil {
