control: open membership, whole configurations, drain phase

The platform gives processes three seeds in place of a list of members, and its operators send whole configurations that build on a number. Adds an open mode to peer, quorum and discovery (instances named by their host address are learned at run time; a learner takes the place of a silent voter), the change kind configuration (compare and set on the operators' number), routes with a split, a priority and a target, and a drain phase of the kernel.

--- a/core/change/change.go
+++ b/core/change/change.go
@@ -25,6 +25,8 @@
 const (
 	KindTemplate Kind = "template"
 	KindTeam     Kind = "team"
+	// KindConfiguration is a whole configuration; see resource.Configuration.
+	KindConfiguration Kind = "configuration"
 )
 
 // Action tells what a change does.
@@ -153,6 +155,9 @@
 	if len(c.Roles) > 8 {
 		return invalid("roles", "%d roles are above the limit of 8", len(c.Roles))
 	}
+	if c.Kind == KindConfiguration {
+		return c.checkConfiguration()
+	}
 	if c.Kind != KindTemplate && c.Kind != KindTeam {
 		return invalid("kind", "%q is not one of template, team", clip(string(c.Kind)))
 	}
@@ -174,6 +179,15 @@
 	return nil
 }
 
+// checkConfiguration checks what a change of the whole configuration carries
+// beside its body, which states its own base.
+func (c *Change) checkConfiguration() error {
+	if c.Action != ActionPut || c.ExpectedRevision != 0 || len(c.Body) == 0 {
+		return invalid("action", "a configuration is put with a body and without a revision")
+	}
+	return nil
+}
+
 // CheckID refuses IDs that are not 1 to MaxIDBytes bytes of letters, digits, ".",
 // "_" and "-".
 func CheckID(id string) error {
--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -48,6 +48,14 @@
 	Waiting string `json:"waiting,omitempty"`
 	// Isolated tells that the instance does not reach the quorum.
 	Isolated bool `json:"isolated,omitzero"`
+	// Instances names the control instances that the sender knows, in an open fleet.
+	Instances []Instance `json:"instances,omitempty"`
+}
+
+// Instance is a control instance of an open fleet; its name is its host address.
+type Instance struct {
+	Name             string `json:"n"`
+	AvailabilityZone string `json:"az,omitempty"`
 }
 
 // Update is one step of a node's state. The next one follows only after its Ack.
@@ -118,6 +126,8 @@
 // Records carries records from their owner to another control instance.
 type Records struct {
 	Instance string `json:"instance"`
+	// AvailabilityZone is that of the instance.
+	AvailabilityZone string `json:"az,omitempty"`
 	// Epoch rises with each start of the instance.
 	Epoch uint64 `json:"epoch"`
 	// Seq rises by one with each message of the epoch to this receiver.
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -46,7 +46,10 @@
 	Team         string `json:"team"`
 	Match        Match  `json:"match"`
 	// Cluster names the cluster; a node that holds the route holds the cluster.
+	// It is the first one of Split when that is set.
 	Cluster string `json:"cluster"`
+	// Split divides the requests among several clusters by weight.
+	Split []Share `json:"split,omitempty"`
 	// TimeoutMillis bounds the whole call, retries included.
 	TimeoutMillis int `json:"timeout_ms"`
 	// MaxAttempts bounds dispatches of one call, the first included.
@@ -54,8 +57,25 @@
 	// Idempotent allows retries after a dispatch that may have run, whatever the
 	// method. GET, HEAD and OPTIONS always allow them (RFC 9110, section 9.2.2).
 	Idempotent bool `json:"idempotent,omitzero"`
+	// AtMostOnce takes the retries after a dispatch that may have run away from
+	// every method, GET included.
+	AtMostOnce bool `json:"at_most_once,omitzero"`
+	// Priority orders waiting calls; 0 is the most urgent.
+	Priority int `json:"priority,omitzero"`
+	// TargetMillis is the latency that callers want; 0 means none is stated.
+	TargetMillis int `json:"target_ms,omitzero"`
 }
 
+// Share is the part of a route's requests that goes to one cluster.
+type Share struct {
+	Cluster string `json:"cluster"`
+	// Weight is relative to the sum of the weights of the route.
+	Weight int `json:"weight"`
+}
+
+// Target returns the latency that callers want; 0 means none is stated.
+func (r *Route) Target() time.Duration { return time.Duration(r.TargetMillis) * time.Millisecond }
+
 // Timeout returns the bound of the whole call.
 func (r *Route) Timeout() time.Duration { return time.Duration(r.TimeoutMillis) * time.Millisecond }
 
--- a/core/resource/snapshot.go
+++ b/core/resource/snapshot.go
@@ -113,9 +113,15 @@
 // closed checks the invariant and names the first reference that is not held.
 func (s *Snapshot) closed() error {
 	for _, name := range sortedKeys(s.Routes) {
-		if r := s.Routes[name]; s.Clusters[r.Cluster] == nil {
+		r := s.Routes[name]
+		if s.Clusters[r.Cluster] == nil {
 			return errors.Wrapf(ErrOpen, "route %q refers to cluster %q", name, r.Cluster)
 		}
+		for _, part := range r.Split {
+			if s.Clusters[part.Cluster] == nil {
+				return errors.Wrapf(ErrOpen, "route %q refers to cluster %q", name, part.Cluster)
+			}
+		}
 	}
 	for _, name := range sortedKeys(s.Clusters) {
 		if c := s.Clusters[name]; s.Sets[c.Service] == nil {
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -35,8 +35,14 @@
 	QueueJobs int `json:"queue_jobs"`
 	// Seed makes random choices repeatable; 0 takes a new seed.
 	Seed uint64 `json:"seed"`
-	// StopTimeout bounds a graceful stop.
+	// StopTimeout bounds a graceful stop, DrainTime included.
 	StopTimeout settings.Duration `json:"stop_timeout"`
+	// DrainTime is how long a stopping process goes on serving after it has told
+	// others that it leaves; 0 stops at once.
+	DrainTime settings.Duration `json:"drain_time"`
+	// Bootstrap allows a control instance with an empty data folder to form a new
+	// group of voters, like the flag --bootstrap.
+	Bootstrap bool `json:"bootstrap"`
 }
 
 // DefaultInstance returns the defaults of the section "instance".
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -173,7 +173,7 @@
 func (k *Kernel) context(name string, bootstrap bool) *Context {
 	return &Context{
 		Name: name, Instance: k.instance, Log: k.log.With("plugin", name), Metrics: k.metrics,
-		Pool: k.pool, Clock: k.clock, Bootstrap: bootstrap, k: k,
+		Pool: k.pool, Clock: k.clock, Bootstrap: bootstrap || k.instance.Bootstrap, k: k,
 	}
 }
 
@@ -191,7 +191,7 @@
 	if err != nil {
 		k.log.Log(evFailed).Err(err).Send()
 	}
-	k.stop()
+	k.stop(err == nil)
 	return err
 }
 
@@ -212,11 +212,15 @@
 	return nil
 }
 
-func (k *Kernel) stop() {
+// stop ends the plug-ins in reverse order. A planned stop drains first.
+func (k *Kernel) stop(planned bool) {
 	k.stopping.Store(true)
 	k.log.Log(evStopping).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), k.instance.StopTimeout.D())
 	defer cancel()
+	if planned {
+		k.drain()
+	}
 	for i := len(k.started) - 1; i >= 0; i-- {
 		name := k.started[i]
 		if err := k.plugins[name].Stop(ctx); err != nil {
@@ -230,6 +234,26 @@
 	k.log.Log(evStopped).Send()
 }
 
+// drain tells the plug-ins that the process leaves and lets it serve on for
+// DrainTime, so that callers and other processes have moved away when the
+// plug-ins stop.
+func (k *Kernel) drain() {
+	for _, name := range k.started {
+		if d, ok := k.plugins[name].(Drainer); ok {
+			d.Drain()
+		}
+	}
+	if k.instance.DrainTime <= 0 {
+		return
+	}
+	timer := time.NewTimer(k.instance.DrainTime.D())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-k.failed:
+	}
+}
+
 func (k *Kernel) fail(err error) {
 	select {
 	case k.failed <- err:
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -23,6 +23,10 @@
 	Stop(ctx context.Context) error
 }
 
+// Drainer is implemented by plug-ins that prepare a planned stop. Drain is called
+// once, before the drain time of the process begins; it must not block.
+type Drainer interface{ Drain() }
+
 // Registration describes a plug-in to the kernel.
 type Registration struct {
 	// Name is the name of the plug-in and of its settings section.
--- a/plugin/catalog/encode.go
+++ b/plugin/catalog/encode.go
@@ -41,28 +41,40 @@
 	Templates []*templateEntry     `json:"templates"`
 	Teams     []*teamEntry         `json:"teams"`
 	Resources []*resource.Resource `json:"resources"`
-	Steps     []step               `json:"steps"`
-	Last      uint64               `json:"last"`
-	Records   []change.Record      `json:"records"`
+	// Configuration stands for the resources that follow from it.
+	Configuration *configurationEntry `json:"configuration,omitempty"`
+	Steps         []step              `json:"steps"`
+	Last          uint64              `json:"last"`
+	Records       []change.Record     `json:"records"`
 }
 
 // encode returns the whole state. Equal states have equal encodings.
 func (s *state) encode() ([]byte, error) {
 	f := snapshotForm{
-		Format: snapshotFormat, Version: s.version, Steps: s.history.steps, Last: s.records.last, Records: s.records.list,
+		Format: snapshotFormat, Version: s.version, Configuration: s.configuration, Steps: s.history.steps, Last: s.records.last, Records: s.records.list,
 	}
 	for _, name := range sortedNames(s.templates) {
 		f.Templates = append(f.Templates, s.templates[name])
 	}
 	for _, name := range sortedNames(s.teams) {
-		f.Teams = append(f.Teams, s.teams[name])
+		if name != resource.ConfigurationTeam {
+			f.Teams = append(f.Teams, s.teams[name])
+		}
 	}
 	for _, key := range sortedKeys(s.resources) {
-		f.Resources = append(f.Resources, s.resources[key])
+		if r := s.resources[key]; !configured(r) {
+			f.Resources = append(f.Resources, r)
+		}
 	}
 	return json.Marshal(f, json.Deterministic(true))
 }
 
+// configured reports whether a resource stems from the whole configuration.
+func configured(r *resource.Resource) bool {
+	team, _ := r.Owner()
+	return team == resource.ConfigurationTeam
+}
+
 // decodeState returns the state of an encoding. It checks bounds, versions and
 // references, so that a damaged snapshot is refused as a whole.
 func decodeState(data []byte) (*state, error) {
@@ -75,7 +87,7 @@
 	}
 	s := newState()
 	s.version = f.Version
-	for _, load := range []func(*snapshotForm) error{s.loadTemplates, s.loadTeams, s.loadResources, s.loadReferences, s.loadHistory, s.loadRecords} {
+	for _, load := range []func(*snapshotForm) error{s.loadTemplates, s.loadTeams, s.loadResources, s.loadReferences, s.loadConfiguration, s.loadHistory, s.loadRecords} {
 		if err := load(&f); err != nil {
 			return nil, errors.Wrap(err, "catalog snapshot")
 		}
@@ -235,7 +247,7 @@
 		if !accepted && r.Outcome.State != change.StateRefused || accepted != (r.Outcome.Version > 0) || r.Outcome.Version > s.version {
 			return errors.Newf("audit record %d has state %q with version %d", r.Seq, r.Outcome.State, r.Outcome.Version)
 		}
-		if r.Outcome.Reason == change.ReasonIDReused {
+		if r.Outcome.Reason == change.ReasonIDReused || !answers(r.Kind, r.Outcome) {
 			continue
 		}
 		if _, ok := s.records.byID[r.Outcome.ID]; ok {
--- a/plugin/catalog/plan.go
+++ b/plugin/catalog/plan.go
@@ -116,7 +116,7 @@
 	}
 	use := map[string]usage{}
 	for name, t := range s.teams {
-		if _, changes := p.teams[name]; !changes {
+		if _, changes := p.teams[name]; !changes && name != resource.ConfigurationTeam {
 			use[t.Team.Organisation] = use[t.Team.Organisation].add(t)
 		}
 	}
--- a/plugin/catalog/state.go
+++ b/plugin/catalog/state.go
@@ -47,8 +47,10 @@
 	// resources holds the routes and clusters of all teams. Values are immutable.
 	resources map[resource.Key]*resource.Resource
 	hosts     map[string]claim
-	history   history
-	records   records
+	// configuration is the whole configuration in force; nil before the first one.
+	configuration *configurationEntry
+	history       history
+	records       records
 }
 
 func newState() *state {
@@ -71,7 +73,9 @@
 		return old.Outcome
 	}
 	var out change.Outcome
-	if known {
+	if c.Kind == change.KindConfiguration && !known {
+		out = s.decideConfiguration(c)
+	} else if known {
 		out = s.refuse(c, &change.Refusal{Reason: change.ReasonIDReused, Text: "the ID was used for another change"})
 	} else {
 		out = s.decide(c)
@@ -79,10 +83,16 @@
 	s.records.add(change.Record{
 		Time: at, Operator: c.Operator, Organisation: c.Organisation, Kind: c.Kind, Action: c.Action,
 		Name: c.Name, ExpectedRevision: c.ExpectedRevision, Digest: digest, Outcome: out,
-	}, !known)
+	}, !known && answers(c.Kind, out))
 	return out
 }
 
+// answers reports whether a decision is kept as the answer to resends. A refused
+// configuration may be sent again once the one that it builds on is in force.
+func answers(k change.Kind, out change.Outcome) bool {
+	return k != change.KindConfiguration || out.State == change.StateAccepted
+}
+
 // decide accepts and executes a change with an unused ID, or refuses it and
 // leaves the configuration unchanged.
 func (s *state) decide(c *change.Change) change.Outcome {
@@ -108,6 +118,9 @@
 // revision returns the current revision of the object of c, or 0 when it does
 // not exist or belongs to another organisation.
 func (s *state) revision(c *change.Change) uint64 {
+	if c.Kind == change.KindConfiguration {
+		return s.configurationNumber()
+	}
 	if c.Kind == change.KindTemplate {
 		if t := s.templates[c.Name]; t != nil {
 			return t.Revision
@@ -246,7 +259,8 @@
 	}
 	return x.Name == y.Name && x.Organisation == y.Organisation && x.Team == y.Team &&
 		x.Match.Host == y.Match.Host && x.Match.PathPrefix == y.Match.PathPrefix && x.Cluster == y.Cluster &&
-		x.TimeoutMillis == y.TimeoutMillis && x.MaxAttempts == y.MaxAttempts && x.Idempotent == y.Idempotent
+		x.TimeoutMillis == y.TimeoutMillis && x.MaxAttempts == y.MaxAttempts && x.Idempotent == y.Idempotent &&
+		x.AtMostOnce == y.AtMostOnce && x.Priority == y.Priority && x.TargetMillis == y.TargetMillis && slices.Equal(x.Split, y.Split)
 }
 
 func less(a, b resource.Key) bool {
--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -35,9 +35,14 @@
 	timer interface{ Stop() bool }
 }
 
+// connect keeps a connection to another instance.
 func (d *Discovery) connect(m peer.Member) {
 	t := &remote{name: m.Name, dirty: map[string]bool{}}
 	d.mu.Lock()
+	if d.remotes[m.Name] != nil || m.Name == d.c.Instance.Name {
+		d.mu.Unlock()
+		return
+	}
 	d.remotes[m.Name] = t
 	d.mu.Unlock()
 	link := d.peer.Connect(m.Address, func(c *rpc.Conn) {
@@ -100,7 +105,7 @@
 	}
 	t.busy, t.sent = true, now
 	t.seq++
-	m := &peerapi.Records{Instance: d.c.Instance.Name, Epoch: d.epoch, Seq: t.seq, Version: released}
+	m := &peerapi.Records{Instance: d.c.Instance.Name, AvailabilityZone: d.c.Instance.AvailabilityZone, Epoch: d.epoch, Seq: t.seq, Version: released}
 	method := peerapi.DiscoveryDelta
 	if t.resync {
 		method, t.resync = peerapi.DiscoverySync, false
@@ -194,6 +199,9 @@
 func (d *Discovery) records(c *rpc.Conn, r *rpc.Request) (*peerapi.Records, bool) {
 	m := &peerapi.Records{}
 	err := r.Decode(m)
+	if err == nil && m.Instance == c.Peer {
+		d.peer.LearnName(m.Instance, m.AvailabilityZone)
+	}
 	if err == nil && !d.instance(c, m.Instance) {
 		err = errors.Newf("process %q is not control instance %q of the settings", c.Peer, m.Instance)
 	}
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -90,6 +90,7 @@
 		defer d.mu.Unlock()
 		return float64(len(d.table.records))
 	})
+	d.peer.OnInstance(d.connect)
 	d.peer.Handle(peerapi.DiscoveryDelta, d.onDelta)
 	d.peer.Handle(peerapi.DiscoverySync, d.onSync)
 	d.peer.OnClose(d.onClose)
@@ -108,9 +109,7 @@
 // Start implements kernel.Plugin.
 func (d *Discovery) Start(context.Context) error {
 	for _, m := range d.peer.Instances() {
-		if m.Name != d.c.Instance.Name {
-			d.connect(m)
-		}
+		d.connect(m)
 	}
 	d.mu.Lock()
 	d.swept = d.c.Clock.Now()
@@ -263,8 +262,8 @@
 	return "no"
 }
 
-// instance reports whether a connection belongs to another control instance of
-// the settings.
+// instance reports whether a connection belongs to another control instance that
+// is known.
 func (d *Discovery) instance(c *rpc.Conn, name string) bool {
 	if c.Peer != name || name == d.c.Instance.Name {
 		return false
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -22,7 +22,7 @@
 		return
 	}
 	now := d.c.Clock.Now()
-	reply := &peerapi.HelloReply{Instance: d.c.Instance.Name, Isolated: d.isolated(now)}
+	reply := &peerapi.HelloReply{Instance: d.c.Instance.Name, Isolated: d.isolated(now), Instances: d.instances()}
 	if h.Probe {
 		r.Reply(reply)
 		return
@@ -42,6 +42,20 @@
 	}
 }
 
+// instances names the control instances of an open fleet, this one included.
+func (d *Distribution) instances() []peerapi.Instance {
+	if !d.peer.Open() {
+		return nil
+	}
+	out := []peerapi.Instance{{Name: d.c.Instance.Name, AvailabilityZone: d.c.Instance.AvailabilityZone}}
+	for _, m := range d.peer.Instances() {
+		if m.Name != d.c.Instance.Name {
+			out = append(out, peerapi.Instance{Name: m.Name, AvailabilityZone: m.AvailabilityZone})
+		}
+	}
+	return out
+}
+
 // isolated reports whether this instance has lost the quorum.
 func (d *Distribution) isolated(now time.Time) bool {
 	return now.Sub(d.log.Status().Confirmed) > d.s.IsolatedAfter.D()
--- a/plugin/peer/link.go
+++ b/plugin/peer/link.go
@@ -11,9 +11,6 @@
 	"github.com/celeryyard/celeryyard/core/rpc"
 )
 
-// dialTimeout bounds one attempt to connect.
-const dialTimeout = 2 * time.Second
-
 // Link is an outgoing connection that is kept up until Close.
 type Link struct {
 	p       *Peer
@@ -92,11 +89,12 @@
 }
 
 func (l *Link) dial(address string) (*rpc.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: l.p.s.DialTimeout.D(), KeepAlive: -1}
 	nc, err := d.DialContext(l.ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
+	l.p.guard(nc)
 	c, err := l.p.open(nc, true)
 	return c, errors.Wrapf(err, "connect to %s", address)
 }
--- a/plugin/peer/plugin.go
+++ b/plugin/peer/plugin.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/celeryyard/celeryyard/core/netconn"
 	"github.com/celeryyard/celeryyard/core/rpc"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
@@ -25,6 +26,8 @@
 	evUp        = event.Declare(202, zerolog.DebugLevel, "connected to process")
 	evDown      = event.Declare(203, zerolog.InfoLevel, "lost connection to process")
 	evDialled   = event.Declare(204, zerolog.DebugLevel, "connection attempt failed")
+	evLearned   = event.Declare(206, zerolog.InfoLevel, "control instance learned")
+	evGuard     = event.Declare(207, zerolog.WarnLevel, "silence timeout of a connection could not be set")
 	evNoAnswer  = event.Declare(205, zerolog.WarnLevel, "connection attempts keep failing")
 )
 
@@ -50,7 +53,8 @@
 	conns map[uint64]*rpc.Conn
 	links map[*Link]bool
 	// stopping makes connections close whose handshake ends after Stop has begun.
-	stopping bool
+	stopping  bool
+	directory directory
 	// total sums the traffic of closed connections.
 	sent, received uint64
 }
@@ -59,7 +63,8 @@
 	p := &Peer{
 		c: c, s: c.Settings.(*Settings), handlers: map[string]Handler{}, mu: rank.New(rank.Peer),
 		conns: map[uint64]*rpc.Conn{}, links: map[*Link]bool{},
-		requests: c.Metrics.NewCounter("celeryyard_peer_requests_total"),
+		directory: newDirectory(c.Settings.(*Settings)),
+		requests:  c.Metrics.NewCounter("celeryyard_peer_requests_total"),
 	}
 	c.Metrics.NewGauge("celeryyard_peer_connections", func() float64 { return float64(p.count()) })
 	c.Metrics.NewGauge("celeryyard_peer_sent_bytes_total", func() float64 { s, _ := p.Traffic(); return float64(s) })
@@ -79,9 +84,6 @@
 // the connection, when a connection ends.
 func (p *Peer) OnClose(f func(c *rpc.Conn)) { p.onClose = append(p.onClose, f) }
 
-// Instances returns the control instances of the settings.
-func (p *Peer) Instances() []Member { return p.s.Instances }
-
 // Key returns the fleet key. It is valid after Start.
 func (p *Peer) Key() rpc.Key { return p.key }
 
@@ -168,6 +170,7 @@
 			_ = c.Close()
 			continue
 		}
+		p.guard(c)
 		p.wg.Add(1)
 		go func() {
 			defer p.wg.Done()
@@ -178,6 +181,14 @@
 	}
 }
 
+// guard makes the connection fail once the other side has been out of reach for
+// the silence timeout, so that a cut without a reset is noticed.
+func (p *Peer) guard(c net.Conn) {
+	if err := netconn.Guard(c, p.s.SilenceTimeout.D()); err != nil {
+		p.c.Log.Log(evGuard).Err(err).Send()
+	}
+}
+
 // open runs the handshake and enters the connection into the table.
 func (p *Peer) open(nc net.Conn, client bool) (*rpc.Conn, error) {
 	c, err := rpc.Open(nc, p.key, p.c.Instance.Name, client, p.dispatch)
--- a/plugin/peer/setup.go
+++ b/plugin/peer/setup.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/celeryyard/celeryyard/core/rpc"
@@ -15,7 +16,8 @@
 			return &Settings{
 				MinBackoff: settings.Duration(50 * time.Millisecond),
 				MaxBackoff: settings.Duration(2 * time.Second),
-				MaxConns:   4096,
+				MaxConns:   4096, DialTimeout: settings.Duration(2 * time.Second),
+				SilenceTimeout: settings.Duration(10 * time.Second),
 			}
 		},
 		Check: func(in *kernel.Instance, _ any) error {
@@ -44,6 +46,18 @@
 	Listen string `json:"listen"`
 	// Instances lists the control instances of the fleet, this one included.
 	Instances []Member `json:"instances"`
+	// Seeds are addresses, IP:port, of some control instances of a fleet whose
+	// members are not listed. Only the host counts; it is also the name of the
+	// instance. Further instances are learned from them.
+	Seeds []string `json:"seeds"`
+	// SeedPort is the port of every instance's listener for processes of the fleet.
+	// It must be set with Seeds.
+	SeedPort int `json:"seed_port"`
+	// DialTimeout bounds one attempt to connect.
+	DialTimeout settings.Duration `json:"dial_timeout"`
+	// SilenceTimeout is the time without a sign of the other side's kernel after
+	// which a connection is given up.
+	SilenceTimeout settings.Duration `json:"silence_timeout"`
 	// MinBackoff and MaxBackoff bound the pause between attempts to connect. The
 	// pause doubles with each failure and is drawn uniformly from its upper half.
 	MinBackoff settings.Duration `json:"min_backoff"`
@@ -67,6 +81,17 @@
 		}
 		seen[m.Name] = true
 	}
+	for i, seed := range s.Seeds {
+		if err := settings.Address(fmt.Sprintf("seeds/%d", i), seed); err != nil {
+			return err
+		}
+	}
+	if s.SeedPort < 0 || s.SeedPort > 65535 || len(s.Seeds) > 0 && s.SeedPort == 0 {
+		return settings.Invalid("seed_port", "%d is no port; one is needed with seeds", s.SeedPort)
+	}
+	if s.DialTimeout <= 0 || s.SilenceTimeout <= 0 {
+		return settings.Invalid("dial_timeout", "dial_timeout and silence_timeout must be positive")
+	}
 	if s.MinBackoff <= 0 || s.MaxBackoff < s.MinBackoff {
 		return settings.Invalid("max_backoff", "must be at least min_backoff, which must be positive")
 	}
--- a/plugin/quorum/join.go
+++ b/plugin/quorum/join.go
@@ -49,10 +49,10 @@
 
 func (q *Quorum) changeMembers(now raft.Instant) {
 	config := q.core.Config()
-	if q.core.ConfigPending() || !raft.MayChange(&config, q.s.Voters, len(q.joins)) {
+	if q.core.ConfigPending() {
 		return
 	}
-	next, ok := raft.NextChange(config, q.s.Voters, q.joins, q.core.Commit(), q.core.Progress())
+	next, ok := q.nextChange(config)
 	if !ok {
 		q.joins = nil
 		return
@@ -66,9 +66,26 @@
 	})
 }
 
+// nextChange decides the next membership change; mu is held.
+func (q *Quorum) nextChange(config replog.Config) (raft.Change, bool) {
+	if q.s.OpenVoters > 0 {
+		if !raft.MayChangeOpen(&config, len(q.joins)) {
+			return raft.Change{}, false
+		}
+		return raft.NextOpenChange(config, q.s.OpenVoters, raft.Instant(q.s.ReplaceAfter.D()), q.joins, q.core.Commit(), q.core.Progress())
+	}
+	if !raft.MayChange(&config, q.s.Voters, len(q.joins)) {
+		return raft.Change{}, false
+	}
+	return raft.NextChange(config, q.s.Voters, q.joins, q.core.Commit(), q.core.Progress())
+}
+
 // ask calls every connected instance; mu is held. answer is called without it.
 func (q *Quorum) ask(method string, params any, answer func(name string, raw []byte)) {
 	for name, link := range q.links {
+		if link == nil {
+			continue
+		}
 		q.call(func() { q.askOne(link, name, method, params, answer) })
 	}
 }
@@ -94,7 +111,7 @@
 		q.call(func() { q.c.Log.Log(evJoining).Str("member", q.member.String()).Send() })
 	}
 	q.joining = !member
-	m := joinMessage{ID: q.member, Commit: q.core.Commit(), Member: member}
+	m := joinMessage{ID: q.member, Commit: q.core.Commit(), Member: member, AvailabilityZone: q.c.Instance.AvailabilityZone}
 	q.ask("quorum.join", m, func(_ string, raw []byte) {
 		var a joinAnswer
 		if json.Unmarshal(raw, &a) == nil && a.Removed {
@@ -128,16 +145,17 @@
 	if q.core.State() != raft.Leader {
 		return joinAnswer{}, raft.ErrNotLeader
 	}
-	if q.links[name] == nil {
+	if _, known := q.links[name]; !known && !q.peer.Open() {
 		return joinAnswer{}, errors.Newf("instance %q is not in the list of instances", name)
 	}
+	q.call(func() { q.peer.LearnName(name, m.AvailabilityZone) })
 	q.learnName(m.ID, name)
 	config := q.core.Config()
 	if _, ok := config.Find(m.ID); ok {
 		return joinAnswer{}, nil
 	}
 	committed := q.core.CommittedConfig()
-	if _, ok := committed.Find(m.ID); m.Member && !ok && m.Commit <= q.core.Commit() {
+	if _, ok := committed.Find(m.ID); q.s.OpenVoters == 0 && m.Member && !ok && m.Commit <= q.core.Commit() {
 		return joinAnswer{Removed: true}, nil
 	}
 	q.joins = raft.AddJoin(q.joins, replog.Member{ID: m.ID, Name: name})
@@ -171,6 +189,9 @@
 	case foundWait:
 		return
 	case foundRefuse:
+		if q.s.OpenVoters > 0 {
+			break // the instance joins the group that exists
+		}
 		q.call(func() {
 			q.c.Log.Log(evRefused).Send()
 			q.c.Fail(errors.New("a group exists that this member is not part of; start without --bootstrap"))
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -78,9 +78,8 @@
 
 	// mu guards everything below. No call out of the package is made while it is
 	// held, except to the pool.
-	mu   *rank.Mutex
-	core *raft.Core
-	// links is read-only once started is set; inputs wait until then.
+	mu      *rank.Mutex
+	core    *raft.Core
 	links   map[string]*peer.Link
 	started bool
 	// in holds inputs for the next pump, which runs them with mu held.
@@ -122,7 +121,7 @@
 	q := &Quorum{
 		c: c, s: c.Settings.(*Settings), mu: rank.New(rank.Quorum), journal: j, recovered: j.Recovered, peer: kernel.Use[*peer.Peer](c, "peer"),
 		names: map[replog.MemberID]string{}, machine: nullMachine{},
-		sending: map[replog.MemberID]bool{},
+		sending: map[replog.MemberID]bool{}, links: map[string]*peer.Link{},
 	}
 	if q.listed() && !j.Durable() {
 		return nil, errors.Newf("instance %q is listed as a voter but has no data folder", c.Instance.Name)
@@ -145,6 +144,7 @@
 		}
 		return -1
 	})
+	q.peer.OnInstance(q.connect)
 	q.peer.Handle("quorum.step", q.onStep)
 	q.peer.Handle("quorum.propose", q.onPropose)
 	q.peer.Handle("quorum.barrier", q.onBarrier)
@@ -166,7 +166,15 @@
 	}
 }
 
-func (q *Quorum) listed() bool { return slices.Contains(q.s.Voters, q.c.Instance.Name) }
+// founders returns the instances that form the group; the first one composes it.
+func (q *Quorum) founders() []string {
+	if q.s.OpenVoters > 0 {
+		return q.peer.SeedNames()
+	}
+	return q.s.Voters
+}
+
+func (q *Quorum) listed() bool { return slices.Contains(q.founders(), q.c.Instance.Name) }
 
 // Attach implements api.Log.
 func (q *Quorum) Attach(sm api.StateMachine) { q.machine = sm }
@@ -185,19 +193,32 @@
 	if err := q.recover(r); err != nil {
 		return err
 	}
-	links := map[string]*peer.Link{}
 	for _, m := range q.peer.Instances() {
-		if m.Name != q.c.Instance.Name {
-			links[m.Name] = q.peer.Connect(m.Address, q.onUp)
-		}
+		q.connect(m)
 	}
 	q.mu.Lock()
-	q.links, q.started = links, true
+	q.started = true
 	q.mu.Unlock()
 	q.c.Every(pumpKey, tickInterval, q.pump)
 	return nil
 }
 
+// connect keeps a connection to another instance.
+func (q *Quorum) connect(m peer.Member) {
+	q.mu.Lock()
+	_, known := q.links[m.Name]
+	if known || m.Name == q.c.Instance.Name || q.stopping {
+		q.mu.Unlock()
+		return
+	}
+	q.links[m.Name] = nil // no second connection meanwhile
+	q.mu.Unlock()
+	l := q.peer.Connect(m.Address, q.onUp)
+	q.mu.Lock()
+	q.links[m.Name] = l
+	q.mu.Unlock()
+}
+
 func (q *Quorum) recover(r journal.State) error {
 	if len(r.Snapshot.Data) > 0 {
 		if err := q.machine.Restore(r.Snapshot.Data); err != nil {
@@ -214,12 +235,12 @@
 	}, raft.Recovered{Hard: r.Hard, Snapshot: r.Snapshot, Entries: r.Entries}, q.now())
 	q.disk.commit = r.Hard.Commit
 	q.disk.released = resource.Version(r.Released)
-	if q.core.Last() == 0 && q.c.Bootstrap {
-		q.found = &foundation{self: replog.Member{ID: q.member, Name: q.c.Instance.Name}, listed: q.s.Voters, ids: map[string]replog.MemberID{}}
+	if q.core.Last() == 0 && q.c.Bootstrap && (q.listed() || q.s.OpenVoters == 0) {
+		q.found = &foundation{self: replog.Member{ID: q.member, Name: q.c.Instance.Name}, listed: q.founders(), ids: map[string]replog.MemberID{}}
 	}
 	q.applying = true
 	q.mu.Unlock()
-	if q.c.Bootstrap && q.found == nil {
+	if q.c.Bootstrap && q.core.Last() != 0 {
 		q.c.Log.Log(evSetAside).Send()
 	}
 	if q.found != nil && !q.listed() {
--- a/plugin/quorum/pump.go
+++ b/plugin/quorum/pump.go
@@ -162,7 +162,10 @@
 }
 
 func (q *Quorum) sendOne(s *stepMessage) {
-	if l := q.links[s.name]; l != nil {
+	q.mu.Lock()
+	l := q.links[s.name]
+	q.mu.Unlock()
+	if l != nil {
 		if c := l.Conn(); c != nil {
 			_ = c.Notify("quorum.step", s) // a broken connection is seen by its link
 		}
--- a/plugin/quorum/raft/membership.go
+++ b/plugin/quorum/raft/membership.go
@@ -19,18 +19,8 @@
 // of the silent voter of the same name, by its removal and then the promotion. A
 // silent voter that is not listed any more is removed once all listed ones vote.
 func NextChange(config replog.Config, listed []string, joins []replog.Member, commit uint64, progress map[replog.MemberID]MemberProgress) (Change, bool) {
-	for _, j := range joins {
-		if _, ok := config.Find(j.ID); ok {
-			continue
-		}
-		out := config
-		for _, m := range config.Members {
-			if m.Name == j.Name && !m.Voter {
-				out = out.Without(m.ID)
-			}
-		}
-		j.Voter = false
-		return Change{out.With(j), "add learner", j}, true
+	if c, ok := addLearner(config, joins); ok {
+		return c, true
 	}
 	for _, m := range config.Members {
 		p := progress[m.ID]
--- a/plugin/quorum/raft/progress.go
+++ b/plugin/quorum/raft/progress.go
@@ -113,6 +113,8 @@
 	Match uint64
 	// Active tells that the member answered within the least election timeout.
 	Active bool
+	// Silent is the time since its last message, or since this leader began.
+	Silent Instant
 }
 
 // Progress returns the leader's knowledge of the other members; nil elsewhere.
@@ -122,7 +124,7 @@
 	}
 	out := make(map[replog.MemberID]MemberProgress, len(c.lead.progress))
 	for id, p := range c.lead.progress {
-		out[id] = MemberProgress{Match: p.match, Active: p.heard && c.now-p.active < c.o.Election}
+		out[id] = MemberProgress{Match: p.match, Active: p.heard && c.now-p.active < c.o.Election, Silent: c.now - p.active}
 	}
 	return out
 }
--- a/plugin/quorum/setup.go
+++ b/plugin/quorum/setup.go
@@ -16,7 +16,7 @@
 			return &Settings{
 				ElectionTimeout: settings.Duration(900 * time.Millisecond),
 				Heartbeat:       settings.Duration(200 * time.Millisecond),
-				SnapshotEntries: 10000, SnapshotBytes: 64 << 20, KeepEntries: 2000,
+				ReplaceAfter:    settings.Duration(2 * time.Second), SnapshotEntries: 10000, SnapshotBytes: 64 << 20, KeepEntries: 2000,
 			}
 		},
 		Check: func(in *kernel.Instance, s any) error {
@@ -34,6 +34,13 @@
 	// Voters lists the instance names that have a vote. The first one composes the
 	// group when it is formed with --bootstrap.
 	Voters []string `json:"voters"`
+	// OpenVoters is the number of voters of an open group, whose members are not
+	// listed: the seeds form it, and instances that join take the place of voters
+	// that are gone. 0 means that Voters lists them.
+	OpenVoters int `json:"open_voters"`
+	// ReplaceAfter is the silence after which a voter of an open group gives its
+	// place to an instance that has joined.
+	ReplaceAfter settings.Duration `json:"replace_after"`
 	// ElectionTimeout is the least time without a leader before an election.
 	ElectionTimeout settings.Duration `json:"election_timeout"`
 	// Heartbeat is the interval of the leader's idle messages to voters; learners
@@ -48,8 +55,11 @@
 
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
-	if len(s.Voters) == 0 {
-		return settings.Invalid("voters", "must name at least one instance")
+	if (len(s.Voters) == 0) != (s.OpenVoters > 0) || s.OpenVoters < 0 {
+		return settings.Invalid("voters", "must name at least one instance, unless open_voters is set in its place")
+	}
+	if s.ReplaceAfter.D() < s.ElectionTimeout.D() {
+		return settings.Invalid("replace_after", "must be at least election_timeout")
 	}
 	for i, v := range s.Voters {
 		if v == "" || slices.Contains(s.Voters[:i], v) {
--- a/plugin/quorum/wire.go
+++ b/plugin/quorum/wire.go
@@ -103,6 +103,8 @@
 	ID     replog.MemberID `json:"id"`
 	Commit uint64          `json:"commit"`
 	Member bool            `json:"member"`
+	// AvailabilityZone is that of the sender.
+	AvailabilityZone string `json:"az,omitempty"`
 }
 
 // joinAnswer tells a former member that it was removed.
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -85,6 +85,7 @@
 		return 0
 	})
 	s.peer.Handle(peerapi.NodeUpdate, s.onUpdate)
+	s.peer.OnInstance(func(peer.Member) { s.arrange() })
 	s.peer.OnClose(s.onClose)
 	if a, ok := kernel.Find[*admin.Admin](c, "admin"); ok {
 		a.Ready(func() error {
@@ -113,18 +114,11 @@
 // Start implements kernel.Plugin.
 func (s *Session) Start(ctx context.Context) error {
 	s.ctx = ctx
-	var members []instance
-	for _, m := range s.peer.Instances() {
-		members = append(members, instance{m.Name, m.Address, m.AvailabilityZone})
-	}
-	list, home := order(members, s.c.Instance.AvailabilityZone, s.c.Rand())
-	if len(list) == 0 {
+	if len(s.peer.Instances()) == 0 {
 		s.c.Log.Log(evNoHome).Send()
-		return errors.New("peer/instances names no control instance")
+		return errors.New("peer names no control instance")
 	}
-	s.mu.Lock()
-	s.list, s.home = list, home
-	s.mu.Unlock()
+	s.arrange()
 	link := s.peer.ConnectAny(s.next, s.up)
 	s.mu.Lock()
 	s.link = link
@@ -134,6 +128,18 @@
 	return nil
 }
 
+// arrange puts the known control instances into the order in which they are tried.
+func (s *Session) arrange() {
+	var members []instance
+	for _, m := range s.peer.Instances() {
+		members = append(members, instance{m.Name, m.Address, m.AvailabilityZone})
+	}
+	list, home := order(members, s.c.Instance.AvailabilityZone, s.c.Rand())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list, s.home = list, home
+}
+
 // Stop implements kernel.Plugin.
 func (s *Session) Stop(context.Context) error { return nil }
 
@@ -187,6 +193,9 @@
 			c.Close()
 			return
 		}
+		for _, m := range r.Instances {
+			s.peer.LearnName(m.Name, m.AvailabilityZone)
+		}
 		s.established(c, &r)
 	})
 }
