--- a/core/api/api.go
+++ b/core/api/api.go
@@ -141,6 +141,11 @@
 	Endpoint() resource.Endpoint
 	// Upstream returns IP:port of the upstream beside the node; empty without one.
 	Upstream() string
+	// UpstreamID returns the identity that the upstream has given itself; empty
+	// when it has none.
+	UpstreamID() string
+	// Closed reports whether the upstream takes no new call from now on.
+	Closed() bool
 	// Draining reports whether a planned stop has begun.
 	Draining() bool
 	// OnLeave sets the last step of a planned stop: f rejects further calls,
--- /dev/null
+++ b/core/dialect/dialect.go
@@ -0,0 +1,119 @@
+// Package dialect separates what the data plane decides from the headers in
+// which callers and upstreams express it. A platform with headers of its own
+// provides a plug-in named "dialect" that implements Dialect.
+package dialect
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/verdict"
+)
+
+// Name is the name of the plug-in that provides another dialect than Native.
+const Name = "dialect"
+
+// Call is what a caller states about its request.
+type Call struct {
+	// ID names the request in logs and answers; empty when the caller gives none.
+	ID string
+	// Timeout is how long the caller waits; 0 when it does not say.
+	Timeout time.Duration
+}
+
+// Dispatch is what an upstream is told about a request.
+type Dispatch struct {
+	ID string
+	// Remaining is the time left for the answer.
+	Remaining time.Duration
+	// Caller is the service beside whose node the request began; empty when unknown.
+	Caller string
+	// Upstream is the identity of the upstream that may run the request; empty when
+	// the upstream has none.
+	Upstream string
+}
+
+// Kind tells what an answer of an upstream is.
+type Kind int
+
+// Kinds of answers.
+const (
+	// Own is the upstream's answer to the request, whatever its status.
+	Own Kind = iota
+	// Foreign belongs to another request; the answer may follow on the connection.
+	Foreign
+	// Rejected proves that the upstream did not run the request.
+	Rejected
+	// Misdirected proves that another upstream has the address and ran nothing.
+	Misdirected
+	// Spoiled is no valid answer: the request may have run.
+	Spoiled
+)
+
+// Load is the load that an upstream reports of itself.
+type Load struct{ Running, Waiting, Slots int }
+
+// Answer is the meaning of an upstream's response.
+type Answer struct {
+	Kind Kind
+	// Load is valid when HasLoad is set.
+	Load    Load
+	HasLoad bool
+	// Idle is how long the upstream keeps the connection open; 0 when it does not say.
+	Idle time.Duration
+}
+
+// Refusal is an answer of the system itself.
+type Refusal struct {
+	ID      string
+	Status  int
+	Verdict verdict.Verdict
+	// RetryAfter is when a request that did not run may be sent again; 0 for at once.
+	RetryAfter time.Duration
+	Text       string
+}
+
+// Dialect translates between headers and the terms of the data plane. Its methods
+// are safe for concurrent use and do no I/O.
+type Dialect interface {
+	// ReadCall reads what a caller states. The error names the bad header.
+	ReadCall(h http.Header) (Call, error)
+	// WriteCall sets the system's headers of a request to an upstream, whatever the
+	// caller sent under their names.
+	WriteCall(h http.Header, d Dispatch)
+	// ReadAnswer tells what a response to the dispatch is.
+	ReadAnswer(r *http.Response, d Dispatch) Answer
+	// WriteRefusal sets the headers of an answer of the system itself.
+	WriteRefusal(h http.Header, f Refusal)
+}
+
+// Native is the product's own dialect.
+type Native struct{}
+
+// ReadCall implements Dialect.
+func (Native) ReadCall(h http.Header) (Call, error) {
+	v := h.Get(httpcall.HeaderTimeout)
+	if v == "" {
+		return Call{}, nil
+	}
+	d, err := httpcall.ParseTimeout(v)
+	return Call{Timeout: d}, err
+}
+
+// WriteCall implements Dialect.
+func (Native) WriteCall(h http.Header, d Dispatch) {
+	h[httpcall.HeaderTimeout] = []string{httpcall.FormatTimeout(d.Remaining)}
+}
+
+// ReadAnswer implements Dialect.
+func (Native) ReadAnswer(*http.Response, Dispatch) Answer { return Answer{} }
+
+// WriteRefusal implements Dialect.
+func (Native) WriteRefusal(h http.Header, f Refusal) {
+	h.Set(httpcall.HeaderVerdict, f.Verdict.String())
+	if f.RetryAfter > 0 && f.Verdict == verdict.NotRun {
+		h.Set("Retry-After", strconv.FormatInt(int64((f.RetryAfter+time.Second-1)/time.Second), 10))
+	}
+}
--- a/core/httpcall/auth.go
+++ b/core/httpcall/auth.go
@@ -41,6 +41,13 @@
 	ReasonBackup      = "backup-unreachable"
 	ReasonTooLarge    = "too-large"
 	ReasonConflict    = "key-conflict"
+	// ReasonWait: the call would have waited for longer than is useful.
+	ReasonWait = "wait-too-long"
+	// ReasonUpstream: the upstream itself refused the call with a proof. It is the
+	// only rejection of a call that has reached the upstream.
+	ReasonUpstream = "upstream-rejected"
+	// ReasonIdentity: another upstream than the announced one has the address.
+	ReasonIdentity = "wrong-upstream"
 )
 
 // secret is what both ends of a connection between nodes share.
--- a/core/httpcall/client.go
+++ b/core/httpcall/client.go
@@ -28,6 +28,9 @@
 	// MaxIdle bounds the idle connections to one address.
 	MaxIdle     int
 	DialTimeout time.Duration
+	// SilenceTimeout is the time without a sign of the other side's kernel after
+	// which a connection fails.
+	SilenceTimeout time.Duration
 	// Rank is the lock rank of the table of idle connections.
 	Rank rank.Rank
 	// Dispatches counts the exchanges of which at least one byte met a connection.
@@ -54,6 +57,9 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = time.Second
 	}
+	if o.SilenceTimeout == 0 {
+		o.SilenceTimeout = 10 * time.Second
+	}
 	if o.Dispatches == nil {
 		o.Dispatches = new(metrics.Counter)
 	}
@@ -61,14 +67,15 @@
 }
 
 // take returns a usable idle connection or nil. Unusable ones are closed.
-func (c *Client) take(address string) *conn {
+func (c *Client) take(address string, fresh time.Duration) *conn {
 	now := time.Now()
 	for {
 		k := c.pop(address)
 		if k == nil {
 			return nil
 		}
-		if now.Sub(k.idleSince) < c.o.IdleTimeout && k.idle.check() == nil {
+		idle := now.Sub(k.idleSince)
+		if idle < c.o.IdleTimeout && (k.keep == 0 || idle < k.keep) && (fresh == 0 || idle < fresh) && k.idle.check() == nil {
 			return k
 		}
 		_ = k.Close()
@@ -145,12 +152,12 @@
 }
 
 // open returns a connection: a kept one unless fresh is set, or a new one.
-func (c *Client) open(ctx context.Context, to Target, deadline time.Time, fresh bool) (k *conn, reused bool, err error) {
+func (c *Client) open(ctx context.Context, r *Request, fresh bool) (k *conn, reused bool, err error) {
 	if !fresh {
-		if k := c.take(to.Address); k != nil {
+		if k := c.take(r.To.Address, r.Fresh); k != nil {
 			return k, true, nil
 		}
 	}
-	k, err = c.dial(ctx, to, deadline)
+	k, err = c.dial(ctx, r.To, r.Deadline)
 	return k, false, err
 }
--- a/core/httpcall/conn.go
+++ b/core/httpcall/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/celeryyard/celeryyard/core/netconn"
 )
 
 // conn is one connection. It is used by one exchange at a time.
@@ -24,7 +26,9 @@
 	// proof is sent with the first call; empty afterwards and towards upstreams.
 	proof     string
 	idleSince time.Time
-	idle      *idleCheck
+	// keep bounds the idle time as the other side has asked; 0 for no bound.
+	keep time.Duration
+	idle *idleCheck
 }
 
 // Write counts the bytes that the connection took.
@@ -49,6 +53,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := netconn.Guard(nc, c.o.SilenceTimeout); err != nil {
+		_ = nc.Close()
+		return nil, err
+	}
 	k := &conn{Conn: nc, address: to.Address, idle: newIdleCheck(nc)}
 	k.br, k.bw = bufio.NewReader(nc), bufio.NewWriter(k)
 	if !c.o.Authenticate {
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -1,6 +1,7 @@
 package httpcall
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -28,6 +29,15 @@
 	// Unblock ends a blocked read of the rest of the body; it is called when the
 	// answer arrives before the body was sent.
 	Unblock func()
+	// Skip tells that a response belongs to another request, so that the answer is
+	// still to come on the connection; nil takes the first response.
+	Skip func(*http.Response) bool
+	// Buffer makes Do read a body of up to this many bytes before it returns, so that
+	// a cut answer is a failure of the dispatch. A longer body is streamed. With it,
+	// a body that ends with its connection is taken as well.
+	Buffer int
+	// Fresh asks for a connection that was idle for at most this long; 0 takes any.
+	Fresh time.Duration
 }
 
 // Exchange is an answered dispatch. Finish must be called once.
@@ -56,7 +66,7 @@
 // ctx ends or the deadline passes.
 func (c *Client) Do(ctx context.Context, r *Request) (*Exchange, *Failure) {
 	for fresh := false; ; fresh = true {
-		k, reused, err := c.open(ctx, r.To, r.Deadline, fresh)
+		k, reused, err := c.open(ctx, r, fresh)
 		if err != nil {
 			return nil, c.notSent(ctx, r, err)
 		}
@@ -92,7 +102,7 @@
 		return nil, x.failure(ctx, r, err)
 	}
 	// After a failed write the other side may still have answered.
-	resp, err2 := x.readHead(r.HTTP)
+	resp, err2 := x.readAnswer(r)
 	if err2 != nil {
 		x.abort()
 		return nil, x.failure(ctx, r, err2)
@@ -191,8 +201,58 @@
 	x.count()
 }
 
-// readHead reads the head of the final response.
-func (x *Exchange) readHead(h *http.Request) (*http.Response, error) {
+// maxForeign bounds the responses to other requests that are skipped.
+const maxForeign = 4
+
+// readAnswer reads the head of the answer, and its body as far as it is buffered.
+func (x *Exchange) readAnswer(r *Request) (*http.Response, error) {
+	for range maxForeign {
+		resp, err := x.readHead(r.HTTP, r.Buffer > 0)
+		if err != nil {
+			return nil, err
+		}
+		if r.Skip == nil || !r.Skip(resp) {
+			return resp, bufferBody(resp, r.Buffer)
+		}
+		if resp.Close {
+			return nil, errForeign
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, KeepBytes))
+		if err != nil || n == KeepBytes {
+			return nil, errForeign
+		}
+	}
+	return nil, errForeign
+}
+
+// errForeign means that only responses to other requests arrived.
+var errForeign = errors.New("the response belongs to another request")
+
+// bufferBody reads a body of at most limit bytes. A longer one is left to be
+// streamed behind what was read.
+func bufferBody(resp *http.Response, limit int) error {
+	if limit <= 0 || resp.Body == http.NoBody || resp.ContentLength > int64(limit) {
+		return nil
+	}
+	size := resp.ContentLength
+	if size < 0 {
+		size = 1024
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	n, err := io.Copy(buf, io.LimitReader(resp.Body, int64(limit)+1))
+	if err != nil {
+		return err
+	}
+	if n > int64(limit) {
+		resp.Body = io.NopCloser(io.MultiReader(buf, resp.Body))
+		return nil
+	}
+	resp.Body, resp.ContentLength, resp.TransferEncoding = io.NopCloser(buf), n, nil
+	return nil
+}
+
+// readHead reads the head of a final response.
+func (x *Exchange) readHead(h *http.Request, unframed bool) (*http.Response, error) {
 	for range 8 { // bounds the interim responses of a faulty upstream
 		resp, err := http.ReadResponse(x.conn.br, h)
 		if err != nil {
@@ -204,7 +264,7 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		if !unframed && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
 			return nil, errUnframed
 		}
 		return resp, nil
@@ -253,6 +313,9 @@
 	x.client.put(k)
 }
 
+// KeepFor bounds how long the connection may be idle before its next use.
+func (x *Exchange) KeepFor(d time.Duration) { x.conn.keep = d }
+
 // Drain reads the rest of a short response and finishes the exchange.
 func (x *Exchange) Drain() error {
 	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, KeepBytes))
--- a/core/httpcall/headers.go
+++ b/core/httpcall/headers.go
@@ -58,6 +58,14 @@
 	Remaining    time.Duration
 	Service      string
 	Organisation string
+	// ID names the call in logs; empty when the caller gave none.
+	ID string
+	// Caller is the service beside the sending node; empty when it has none.
+	Caller string
+	// Priority orders waiting calls; 0 is the most urgent.
+	Priority int
+	// Target is the latency that the caller wants, in whole milliseconds; 0 for none.
+	Target time.Duration
 	// Keyed marks a call with an Idempotency-Key whose primary is the receiver.
 	Keyed bool
 	// BackupNode and BackupAddress name the second holder of the claim; empty
@@ -66,13 +74,31 @@
 	BackupAddress string
 }
 
+// Class names calls of like duration: those that share target and priority.
+func (c *Call) Class() string {
+	return strconv.Itoa(c.Priority) + "/" + strconv.FormatInt(c.Target.Milliseconds(), 10)
+}
+
+// callVersion starts each call header.
+const callVersion = "2"
+
+// Fields of a call header, without and with those of a keyed call.
+const (
+	callFields  = 8
+	keyedFields = 10
+)
+
 // Encode returns the header value of the call.
 func (c *Call) Encode() string {
-	b := make([]byte, 0, 96)
-	b = append(b, "1;"...)
+	b := make([]byte, 0, 128)
+	b = append(b, callVersion+";"...)
 	b = strconv.AppendInt(b, c.Remaining.Milliseconds(), 10)
 	b = append(append(b, ';'), url.PathEscape(c.Service)...)
 	b = append(append(b, ';'), url.PathEscape(c.Organisation)...)
+	b = append(append(b, ';'), url.PathEscape(c.ID)...)
+	b = append(append(b, ';'), url.PathEscape(c.Caller)...)
+	b = strconv.AppendInt(append(b, ';'), int64(c.Priority), 10)
+	b = strconv.AppendInt(append(b, ';'), c.Target.Milliseconds(), 10)
 	if c.Keyed {
 		b = append(append(b, ';'), url.PathEscape(c.BackupNode)...)
 		b = append(append(b, ';'), url.PathEscape(c.BackupAddress)...)
@@ -86,7 +112,7 @@
 	if len(s) > maxCallHeader {
 		return c, errors.Newf("call header has %d bytes, the limit is %d", len(s), maxCallHeader)
 	}
-	var f [6]string
+	var f [keyedFields]string
 	n := 0
 	for rest, more := s, true; more; n++ {
 		if n == len(f) {
@@ -94,16 +120,26 @@
 		}
 		f[n], rest, more = strings.Cut(rest, ";")
 	}
-	if f[0] != "1" || (n != 4 && n != 6) {
+	if f[0] != callVersion || (n != callFields && n != keyedFields) {
 		return c, errors.Newf("call header has version %q and %d fields", f[0], n)
 	}
-	d, err := ParseTimeout(f[1])
-	if err != nil {
-		return c, err
+	var err error
+	if c.Remaining, err = ParseTimeout(f[1]); err != nil {
+		return Call{}, err
+	}
+	if c.Target, err = ParseTimeout(f[7]); err != nil {
+		return Call{}, err
+	}
+	if c.Priority, err = strconv.Atoi(f[6]); err != nil || c.Priority < 0 {
+		return Call{}, errors.Newf("call header has priority %q", f[6])
 	}
-	c.Remaining, c.Keyed = d, n == 6
-	for i, into := range []*string{&c.Service, &c.Organisation, &c.BackupNode, &c.BackupAddress} {
-		if *into, err = url.PathUnescape(f[2+i]); err != nil {
+	c.Keyed = n == keyedFields
+	texts := []struct {
+		into *string
+		at   int
+	}{{&c.Service, 2}, {&c.Organisation, 3}, {&c.ID, 4}, {&c.Caller, 5}, {&c.BackupNode, 8}, {&c.BackupAddress, 9}}
+	for _, t := range texts {
+		if *t.into, err = url.PathUnescape(f[t.at]); err != nil {
 			return Call{}, errors.Wrap(err, "call header")
 		}
 	}
--- a/core/httpcall/httpcall_test.go
+++ b/core/httpcall/httpcall_test.go
@@ -341,7 +341,7 @@
 
 // FuzzParseCall guards against call headers that crash or do not survive a round trip.
 func FuzzParseCall(f *testing.F) {
-	for _, s := range []string{"1;250;svc;org", "1;1;a%3Bb;Fundaci%C3%B3n;n;127.0.0.1:1", "2;;;", "1;9;;", ";;;;;;;"} {
+	for _, s := range []string{"2;250;svc;org;id;caller;1;400", "2;1;a%3Bb;Fundaci%C3%B3n;;;0;0;n;127.0.0.1:1", "2;;;;;;;", "1;9;;", ";;;;;;;"} {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
--- a/core/httpcall/ticket.go
+++ b/core/httpcall/ticket.go
@@ -34,14 +34,24 @@
 // f did not run and never will: that of the pool or its queue, that of ctx, or
 // pool.ErrExpired once the deadline has passed.
 func Run(ctx context.Context, p *pool.Pool, group string, deadline time.Time, f func()) error {
-	t := &ticket{run: f, done: make(chan struct{}, 1)}
-	t.job = pool.Job{Group: group, Deadline: deadline, Run: t.start, Abandon: t.abandon}
+	return RunJob(ctx, p, pool.Job{Group: group, Deadline: deadline}, f)
+}
+
+// RunJob is Run for a job with further marks; it sets what the job does. A job
+// with MaxWait gives up after that time in the queue.
+func RunJob(ctx context.Context, p *pool.Pool, job pool.Job, f func()) error {
+	t := &ticket{run: f, done: make(chan struct{}, 1), job: job}
+	t.job.Run, t.job.Abandon = t.start, t.abandon
+	wait := time.Until(job.Deadline)
+	if job.MaxWait > 0 {
+		wait = min(wait, job.MaxWait)
+	}
 	ran, err := p.TryRun(&t.job)
 	if ran || err != nil {
 		return err
 	}
 	timer := timers.Get().(*time.Timer)
-	timer.Reset(time.Until(deadline))
+	timer.Reset(wait)
 	defer func() {
 		timer.Stop()
 		timers.Put(timer)
--- a/kernel/pool/pool.go
+++ b/kernel/pool/pool.go
@@ -33,6 +33,13 @@
 	Key string
 	// Group is the party that the job is accounted to; only fair queues read it.
 	Group string
+	// Priority orders the jobs of a group; 0 is the most urgent. Only fair queues
+	// read it.
+	Priority int
+	// Class names jobs of like duration, for estimates; empty when nothing is known.
+	Class string
+	// MaxWait is the longest useful time in the queue; 0 means up to the deadline.
+	MaxWait time.Duration
 	// Deadline is the time after which the job is not started; zero means none.
 	Deadline time.Time
 	// Run does the work on a worker. It must not wait for another job of the same pool.
--- a/plugin/announce/plugin.go
+++ b/plugin/announce/plugin.go
@@ -27,6 +27,9 @@
 	evHealth      = event.Declare(703, zerolog.InfoLevel, "health of the upstream changed")
 	evLeaving     = event.Declare(704, zerolog.InfoLevel, "planned stop of the upstream began")
 	evUnconfirmed = event.Declare(705, zerolog.WarnLevel, "drain state not confirmed in time; continuing the planned stop")
+	evReport      = event.Declare(707, zerolog.InfoLevel, "upstream reports another state")
+	evLateReport  = event.Declare(708, zerolog.InfoLevel, "heartbeat of the upstream is older than what is known")
+	evSilent      = event.Declare(709, zerolog.WarnLevel, "upstream misses its heartbeats")
 	evLeft        = event.Declare(706, zerolog.InfoLevel, "planned stop of the upstream is complete")
 )
 
@@ -52,6 +55,7 @@
 	// one are ignored.
 	probing uint64
 	leave   *leave
+	beats   heartbeats
 
 	announced *metrics.Counter
 	probes    *metrics.Counter
@@ -112,6 +116,9 @@
 	if a.s.Upstream.Service != "" {
 		a.put(a.s.Upstream)
 	}
+	if a.s.ReportTimeout > 0 {
+		a.c.Every(jobKey, a.s.ReportTimeout.D()/2, a.checkReports)
+	}
 	return a.listen()
 }
 
--- a/plugin/announce/setup.go
+++ b/plugin/announce/setup.go
@@ -74,6 +74,9 @@
 	// MaxUnready bounds how long an upstream that accepts connections is held back
 	// by its health path; afterwards calls decide.
 	MaxUnready settings.Duration `json:"max_unready"`
+	// ReportTimeout is the silence after which an upstream that reports itself is
+	// taken out of the endpoints; 0 for upstreams that do not.
+	ReportTimeout settings.Duration `json:"report_timeout"`
 	// Linger is the time in which calls on their way still arrive after the
 	// upstream was announced as draining.
 	Linger settings.Duration `json:"linger"`
--- a/plugin/inbound/admission.go
+++ b/plugin/inbound/admission.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,15 @@
 // errHopeless is returned for a call that could not end before its deadline.
 var errHopeless = errors.New("the call cannot end before its deadline")
 
+// errTooLong is returned for a call whose wait would exceed its longest useful one.
+var errTooLong = errors.New("the queue is too long for the call")
+
+// errEvicted is given to a waiting call that made room for a more urgent one.
+var errEvicted = errors.New("a more urgent call took the place in the queue")
+
+// maxClasses bounds the table of costs.
+const maxClasses = 256
+
 // share is one organisation's part of the slots.
 type share struct {
 	name    string
@@ -41,7 +51,8 @@
 type started struct {
 	share *share
 	at    time.Time
-	cost  time.Duration
+	// cost is the expected duration, charged what the share has paid for it.
+	cost, charged time.Duration
 }
 
 // Admission is the queue discipline of the slots of an upstream: a short queue
@@ -57,30 +68,99 @@
 	next         int
 	running      map[*pool.Job]started
 	queued       int
+	// costs holds the smoothed duration of the jobs of each class.
+	costs map[string]time.Duration
+	// evicted jobs are dropped with the next Pop.
+	evicted []*pool.Job
 }
 
 // newAdmission returns the discipline for a number of slots; limit bounds the
 // queue of one organisation. least estimates the shortest useful run of a call.
 func newAdmission(slots, limit int, least *estimate) *Admission {
-	return &Admission{slots: slots, limit: limit, least: least, running: map[*pool.Job]started{}}
+	return &Admission{slots: slots, limit: limit, least: least, running: map[*pool.Job]started{}, costs: map[string]time.Duration{}}
 }
 
 // Push implements pool.Queue.
 func (a *Admission) Push(j *pool.Job, now time.Time) error {
 	s := a.share(j.Group, now)
-	if s == nil || len(s.queue) >= a.limit {
+	if s == nil || len(s.queue) >= a.limit && s.queue[len(s.queue)-1].Priority <= j.Priority {
 		return pool.ErrFull
 	}
 	s.seen = now
-	wait := time.Duration(len(s.queue)) * s.cost / time.Duration(a.fair(now))
+	wait := a.wait(s, j, now)
 	if !j.Deadline.IsZero() && !now.Add(a.least.at(now)+wait).Before(j.Deadline) {
 		return errHopeless
 	}
-	s.queue = append(s.queue, j)
+	if j.MaxWait > 0 && wait > j.MaxWait {
+		return errTooLong
+	}
+	if len(s.queue) >= a.limit {
+		a.evicted = append(a.evicted, a.shift(s, len(s.queue)-1))
+	}
+	s.insert(j)
 	a.queued++
 	return nil
 }
 
+// insert queues a job behind those that are as urgent.
+func (s *share) insert(j *pool.Job) {
+	at := len(s.queue)
+	for at > 0 && s.queue[at-1].Priority > j.Priority {
+		at--
+	}
+	s.queue = slices.Insert(s.queue, at, j)
+}
+
+// wait estimates the time until a job that is queued now would start.
+func (a *Admission) wait(s *share, j *pool.Job, now time.Time) time.Duration {
+	if j.Class == "" {
+		return time.Duration(len(s.queue)) * s.cost / time.Duration(a.fair(now))
+	}
+	if len(a.running) < a.slots && len(s.queue) == 0 {
+		return 0
+	}
+	ahead := time.Duration(0)
+	for _, q := range s.queue {
+		if q.Priority <= j.Priority {
+			ahead += a.cost(s, q.Class)
+		}
+	}
+	return a.nextFree(now) + ahead/time.Duration(a.fair(now))
+}
+
+// nextFree estimates the time until a slot is free.
+func (a *Admission) nextFree(now time.Time) time.Duration {
+	if len(a.running) < a.slots {
+		return 0
+	}
+	free := time.Duration(-1)
+	for _, r := range a.running {
+		if left := max(r.cost-now.Sub(r.at), 0); free < 0 || left < free {
+			free = left
+		}
+	}
+	return max(free, 0)
+}
+
+// cost returns the expected duration of a job.
+func (a *Admission) cost(s *share, class string) time.Duration {
+	if c, ok := a.costs[class]; ok {
+		return c
+	}
+	return s.cost
+}
+
+// learn takes the duration of a job of a class.
+func (a *Admission) learn(class string, took time.Duration) {
+	old, known := a.costs[class]
+	switch {
+	case known:
+		a.costs[class] = old + (took-old)/8
+	case class != "" && len(a.costs) < maxClasses:
+		a.costs[class] = took
+	}
+}
+
 // share finds or adds the share of an organisation; nil when there are too many.
 func (a *Admission) share(name string, now time.Time) *share {
 	for _, s := range a.shares {
@@ -147,15 +227,16 @@
 
 // Pop implements pool.Queue.
 func (a *Admission) Pop(now time.Time) (*pool.Job, []*pool.Job) {
-	dropped := a.dropLate(now)
+	dropped := append(a.evicted, a.dropLate(now)...)
+	a.evicted = nil
 	s := a.choose(now)
 	if s == nil {
 		return nil, dropped
 	}
-	j := a.shift(s)
+	j := a.shift(s, 0)
 	s.credit -= s.cost
 	s.running++
-	a.running[j] = started{share: s, at: now, cost: s.cost}
+	a.running[j] = started{share: s, at: now, cost: a.cost(s, j.Class), charged: s.cost}
 	if len(s.queue) == 0 {
 		// Credit is not saved up while there is nothing to run.
 		s.credit = min(s.credit, 0)
@@ -169,7 +250,7 @@
 	need := a.least.at(now)
 	for _, s := range a.shares {
 		for len(s.queue) > 0 && !s.queue[0].Deadline.IsZero() && !now.Add(need).Before(s.queue[0].Deadline) {
-			dropped = append(dropped, a.shift(s))
+			dropped = append(dropped, a.shift(s, 0))
 		}
 	}
 	return dropped
@@ -200,10 +281,10 @@
 	return nil
 }
 
-func (a *Admission) shift(s *share) *pool.Job {
-	j := s.queue[0]
-	s.queue[0] = nil
-	s.queue = s.queue[1:]
+// shift takes the job at a place out of a queue.
+func (a *Admission) shift(s *share, at int) *pool.Job {
+	j := s.queue[at]
+	s.queue = slices.Delete(s.queue, at, at+1)
 	a.queued--
 	return j
 }
@@ -217,16 +298,18 @@
 	delete(a.running, j)
 	took := max(now.Sub(r.at), leastCost)
 	r.share.running--
-	r.share.credit += r.cost - took
+	r.share.credit += r.charged - took
+	a.learn(j.Class, took)
 	r.share.cost = max(leastCost, r.share.cost+(took-r.share.cost)/8)
 }
 
 // Len implements pool.Queue.
-func (a *Admission) Len() int { return a.queued }
+func (a *Admission) Len() int { return a.queued + len(a.evicted) }
 
 // Drain implements pool.Queue.
 func (a *Admission) Drain() []*pool.Job {
-	var out []*pool.Job
+	out := a.evicted
+	a.evicted = nil
 	for _, s := range a.shares {
 		out = append(out, s.queue...)
 		s.queue = nil
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/kernel/pool"
@@ -36,6 +37,8 @@
 	failed *httpcall.Failure
 	// aborted means that the answer was begun and cannot be completed.
 	aborted bool
+	// sent is what the upstream was told, load what it reported.
+	sent dialect.Dispatch
 	// answer is the kept response of a keyed call.
 	answer *idempotency.Answer
 }
@@ -81,6 +84,10 @@
 		c.reject(httpcall.ReasonService)
 		return
 	}
+	if c.in.announce.Closed() {
+		c.reject(httpcall.ReasonLeaving)
+		return
+	}
 	p, leaving := c.in.enter(e.Slots, c.in.announce.Draining())
 	if leaving || p == nil {
 		c.reject(httpcall.ReasonLeaving)
@@ -107,9 +114,12 @@
 // call did not run.
 func (c *call) dispatch(f func()) (reason string) {
 	c.queued = time.Now()
-	err := httpcall.Run(c.ctx, c.pool, c.info.Organisation, c.deadline, f)
+	err := httpcall.RunJob(c.ctx, c.pool, c.job(), f)
 	switch {
 	case err == nil && c.failed != nil && c.failed.Verdict() == verdict.NotRun:
+		if c.failed.Kind == httpcall.KindRejected {
+			return c.failed.Reason
+		}
 		if c.failed.Kind == httpcall.KindTimeout || c.failed.Kind == httpcall.KindCancelled {
 			return httpcall.ReasonExpired
 		}
@@ -119,17 +129,33 @@
 		return httpcall.ReasonUnreachable
 	case err == nil:
 		return ""
-	case errors.Is(err, pool.ErrFull):
+	case errors.Is(err, pool.ErrFull), errors.Is(err, errEvicted):
 		return httpcall.ReasonFull
+	case errors.Is(err, errTooLong), errors.Is(err, pool.ErrExpired) && time.Now().Before(c.deadline):
+		return httpcall.ReasonWait
 	case errors.Is(err, pool.ErrClosed):
 		return httpcall.ReasonLeaving
 	}
 	return httpcall.ReasonExpired
 }
 
+// job describes the call to the queue of the slots. A call whose caller states a
+// target is not worth more than a part of it in the queue.
+func (c *call) job() pool.Job {
+	j := pool.Job{Group: c.info.Organisation, Deadline: c.deadline, Priority: c.info.Priority}
+	if c.info.Target > 0 {
+		j.Class = c.info.Class()
+		j.MaxWait = time.Duration(float64(c.info.Target) * c.in.s.WaitShare)
+	}
+	return j
+}
+
 // reject answers with the proof that the call did not run.
 func (c *call) reject(reason string) {
 	c.in.rejected(reason, c.info.Organisation)
+	if c.info.ID != "" {
+		c.logRejection(reason)
+	}
 	h := c.w.Header()
 	if reason == httpcall.ReasonLeaving || !c.body.Whole() {
 		h.Set("Connection", "close")
@@ -138,11 +164,26 @@
 	c.s.Reject(c.w, reason)
 }
 
+// logRejection writes why a call did not run, with the state that decided it.
+func (c *call) logRejection(reason string) {
+	queued, running := 0, 0
+	if c.pool != nil {
+		queued, running = c.pool.Len()
+	}
+	c.in.c.Log.Log(evRejected).Str("id", c.info.ID).Str("service", c.info.Service).Str("reason", reason).
+		Int("priority", c.info.Priority).Int("queued", queued).Int("running", running).Int("slots", c.slots).
+		Int("left_ms", int(time.Until(c.deadline).Milliseconds())).Send()
+}
+
 // run dispatches the call and forwards the answer. It runs on a worker.
 func (c *call) run() {
 	x := c.send()
 	if x == nil {
 		if c.failed.Verdict() != verdict.NotRun {
+			if c.info.ID != "" {
+				c.in.c.Log.Log(evFailed).Str("id", c.info.ID).Str("upstream", c.sent.Upstream).Str("verdict", c.failed.Verdict().String()).
+					Int("left_ms", int(time.Until(c.deadline).Milliseconds())).Err(c.failed).Send()
+			}
 			c.unknown()
 		}
 		return
@@ -160,24 +201,64 @@
 		c.failed = httpcall.NewFailure(httpcall.KindTimeout, verdict.NotRun, errors.New("cancelled or expired in the queue"))
 		return nil
 	}
-	header := make(http.Header, len(c.r.Header)+2)
+	if c.in.announce.Closed() {
+		c.failed = rejected(httpcall.ReasonLeaving, errors.New("the upstream began to leave while the call was queued"))
+		return nil
+	}
+	header := make(http.Header, len(c.r.Header)+4)
 	httpcall.Forward(header, c.r.Header)
-	header[httpcall.HeaderTimeout] = []string{httpcall.FormatTimeout(c.deadline.Sub(begin))}
+	c.sent = dialect.Dispatch{
+		ID: c.info.ID, Remaining: c.deadline.Sub(begin), Caller: c.info.Caller, Upstream: c.in.announce.UpstreamID(),
+	}
+	c.in.dialect.WriteCall(header, c.sent)
 	c.url = *c.r.URL
 	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
 	x, f := c.in.client.Do(c.ctx, &httpcall.Request{
 		To:   httpcall.Target{Address: c.upstream},
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
-		Body: c.body, Deadline: c.deadline, Unblock: c.unblock,
+		Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.in.s.BufferBytes,
+		Skip: func(r *http.Response) bool { return c.in.dialect.ReadAnswer(r, c.sent).Kind == dialect.Foreign },
 	})
 	if f != nil {
 		c.failed = f
 		return nil
 	}
-	now := time.Now()
-	c.in.least.observe(now.Sub(begin), now)
-	c.in.noteLoad(x.Response.Header)
-	return x
+	return c.judge(x, begin)
+}
+
+// judge tells an answer of the upstream from proofs that it ran nothing and from
+// what is no answer; it returns nil for the latter two.
+func (c *call) judge(x *httpcall.Exchange, begin time.Time) *httpcall.Exchange {
+	a := c.in.dialect.ReadAnswer(x.Response, c.sent)
+	if a.Idle > 0 {
+		x.KeepFor(a.Idle)
+	}
+	switch a.Kind {
+	case dialect.Rejected:
+		c.failed = rejected(httpcall.ReasonUpstream, errors.Newf("the upstream did not run the call, status %d", x.Response.StatusCode))
+	case dialect.Misdirected:
+		c.failed = rejected(httpcall.ReasonIdentity, errors.New("another upstream has the address"))
+	case dialect.Spoiled, dialect.Foreign:
+		c.failed = httpcall.NewFailure(httpcall.KindCut, verdict.MayHaveRun, errors.New("the response is not a whole answer of the upstream"))
+		x.Finish(false)
+		return nil
+	default:
+		now := time.Now()
+		c.in.least.observe(now.Sub(begin), now)
+		c.in.noteLoad(x.Response.Header)
+		return x
+	}
+	if x.Drain() != nil {
+		c.in.c.Log.Log(evCut).Str("id", c.info.ID).Send()
+	}
+	return nil
+}
+
+// rejected is a proof that the call did not run.
+func rejected(reason string, err error) *httpcall.Failure {
+	f := httpcall.NewFailure(httpcall.KindRejected, verdict.NotRun, err)
+	f.Reason = reason
+	return f
 }
 
 func (c *call) unblock() {
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
@@ -30,6 +31,8 @@
 	evSlots     = event.Declare(801, zerolog.InfoLevel, "slots of the upstream are set")
 	evCut       = event.Declare(802, zerolog.WarnLevel, "response of the upstream was cut")
 	evLeaving   = event.Declare(803, zerolog.InfoLevel, "calls are rejected because the upstream leaves")
+	evRejected  = event.Declare(805, zerolog.InfoLevel, "call rejected before it ran")
+	evFailed    = event.Declare(806, zerolog.InfoLevel, "dispatch to the upstream failed")
 	evDrained   = event.Declare(804, zerolog.InfoLevel, "no call is in flight any more")
 )
 
@@ -50,6 +53,7 @@
 	peer     *peer.Peer
 	announce api.Announcer
 	claims   *idempotency.Idempotency
+	dialect  dialect.Dialect
 	acceptor *httpcall.Acceptor
 	client   *httpcall.Client
 	server   *http.Server
@@ -77,6 +81,10 @@
 		dispatches: c.Metrics.NewCounter(`celeryyard_dispatches_total{side="inbound"}`),
 		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="inbound"}`),
 	}
+	in.dialect = dialect.Native{}
+	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
+		in.dialect = d
+	}
 	in.announce.OnLeave(in.leave)
 	c.Metrics.NewGauge("celeryyard_inbound_active_calls", func() float64 {
 		in.mu.Lock()
@@ -93,7 +101,7 @@
 	}
 	in.acceptor = &httpcall.Acceptor{Key: in.peer.Key(), Node: in.c.Instance.Name}
 	in.client = httpcall.NewClient(httpcall.ClientOptions{
-		IdleTimeout: in.s.UpstreamIdle.D(), MaxIdle: 64, DialTimeout: in.s.DialTimeout.D(),
+		IdleTimeout: in.s.UpstreamIdle.D(), MaxIdle: 64, DialTimeout: in.s.DialTimeout.D(), SilenceTimeout: in.s.SilenceTimeout.D(),
 		Rank: rank.Admission, Dispatches: in.dispatches,
 	})
 	l, err := net.Listen("tcp", in.s.Listen)
--- a/plugin/inbound/setup.go
+++ b/plugin/inbound/setup.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/settings"
 )
@@ -12,11 +13,12 @@
 		Name:  "inbound",
 		Needs: []string{"peer", "announce", "idempotency"},
 		// Calls in flight may make calls of their own, so outbound stops later.
-		After: []string{"outbound"},
+		After: []string{"outbound", dialect.Name},
 		Settings: func() any {
 			return &Settings{
 				QueuePerSlot: 2, NodeIdle: settings.Duration(2 * time.Minute),
 				UpstreamIdle: settings.Duration(4 * time.Second), DialTimeout: settings.Duration(time.Second),
+				SilenceTimeout: settings.Duration(10 * time.Second), WaitShare: 0.5,
 				HandoverTimeout: settings.Duration(10 * time.Second),
 			}
 		},
@@ -24,6 +26,9 @@
 	})
 }
 
+// maxBuffer bounds the memory of one call.
+const maxBuffer = 4 << 20
+
 // Settings configures the plug-in.
 type Settings struct {
 	// Listen is IP:port for other nodes.
@@ -37,6 +42,14 @@
 	// used any more; it must be below the upstream's own idle timeout.
 	UpstreamIdle settings.Duration `json:"upstream_idle"`
 	DialTimeout  settings.Duration `json:"dial_timeout"`
+	// SilenceTimeout is the time without a sign of the upstream's kernel after which
+	// a connection to it fails.
+	SilenceTimeout settings.Duration `json:"silence_timeout"`
+	// WaitShare is the part of a call's target that it may spend in the queue.
+	WaitShare float64 `json:"wait_share"`
+	// BufferBytes is the length up to which an answer is read as a whole before any
+	// of it is passed on, so that a cut one can be replaced; 0 passes on at once.
+	BufferBytes int `json:"buffer_bytes"`
 	// HandoverTimeout bounds the handover of claims on a planned stop.
 	HandoverTimeout settings.Duration `json:"handover_timeout"`
 }
@@ -55,6 +68,12 @@
 		return settings.Invalid("upstream_idle", "must be positive")
 	case s.DialTimeout <= 0:
 		return settings.Invalid("dial_timeout", "must be positive")
+	case s.SilenceTimeout <= 0:
+		return settings.Invalid("silence_timeout", "must be positive")
+	case s.WaitShare <= 0 || s.WaitShare > 10:
+		return settings.Invalid("wait_share", "%v is not above 0 and at most 10", s.WaitShare)
+	case s.BufferBytes < 0 || s.BufferBytes > maxBuffer:
+		return settings.Invalid("buffer_bytes", "%d is outside 0..%d", s.BufferBytes, maxBuffer)
 	case s.HandoverTimeout <= 0:
 		return settings.Invalid("handover_timeout", "must be positive")
 	}
--- a/plugin/outbound/answer.go
+++ b/plugin/outbound/answer.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
+	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/verdict"
 )
@@ -39,6 +41,11 @@
 		c.o.c.Log.Log(evCut).Str("route", c.route.Name).Err(readErr).Send()
 	}
 	c.aborted = readErr != nil || writeErr != nil
+	if c.id != "" {
+		c.o.c.Log.Log(evAnswered).Str("id", c.id).Str("route", c.route.Name).Str("endpoint", c.last).Int("status", x.Response.StatusCode).
+			Int("offers", c.offers).Int("arrivals", c.arrivals+1).Uint("version", uint64(c.version)).
+			Int("ms", int(time.Since(c.begin).Milliseconds())).Send()
+	}
 	switch {
 	case c.aborted || !ran:
 		c.m.mayHaveRun.Inc()
@@ -54,22 +61,72 @@
 	if c.mayHaveRun {
 		v = verdict.MayHaveRun
 	}
-	if v == verdict.NotRun {
-		c.m.notRun.Inc()
-	} else {
-		c.m.mayHaveRun.Inc()
-	}
 	if !c.body.CanSend() || !c.body.Whole() {
 		c.w.Header().Set("Connection", "close")
 	}
-	refuse(c.w, status(f), v, httpcall.Text(f))
+	code := status(f)
+	if v != verdict.NotRun && code == http.StatusServiceUnavailable {
+		code = http.StatusBadGateway // an earlier dispatch may have run
+	}
+	c.refuse(code, v, httpcall.Text(f))
 }
 
 // refuse writes an answer of the system itself.
-func refuse(w http.ResponseWriter, status int, v verdict.Verdict, text string) {
-	h := w.Header()
-	h.Set(httpcall.HeaderVerdict, v.String())
+func (c *call) refuse(status int, v verdict.Verdict, text string) {
+	r := dialect.Refusal{ID: c.id, Status: status, Verdict: v, Text: text}
+	if v == verdict.NotRun && status == http.StatusServiceUnavailable {
+		r.RetryAfter = c.retryAfter()
+	}
+	c.logRefusal(&r)
+	h := c.w.Header()
+	c.o.dialect.WriteRefusal(h, r)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(status)
-	fmt.Fprintf(w, "celeryyard: %s (%v)\n", text, v)
+	c.w.WriteHeader(status)
+	fmt.Fprintf(c.w, "celeryyard: %s (%v)\n", text, v)
+}
+
+// Constants of the time after which a call that did not run may come again.
+const (
+	// retryShare is the part of the remaining time that may pass until then.
+	retryShare = 0.3
+	// retryLeast gives a full queue time to move on.
+	retryLeast = 50 * time.Millisecond
+	// retryTarget is the part of the route's target that is waited at most.
+	retryTarget = 0.5
+	// retryUnknown is used for calls without a route.
+	retryUnknown = 200 * time.Millisecond
+)
+
+// retryAfter is when the caller may send the call again.
+func (c *call) retryAfter() time.Duration {
+	if c.route == nil {
+		return retryUnknown
+	}
+	d := time.Duration(retryShare * float64(time.Until(c.deadline)))
+	if t := c.route.Target(); t > 0 {
+		d = min(d, time.Duration(retryTarget*float64(t)))
+	}
+	return max(d, retryLeast)
+}
+
+// logRefusal writes the refusal with the inputs that decided it, and counts it.
+func (c *call) logRefusal(f *dialect.Refusal) {
+	if c.m != nil {
+		if f.Verdict == verdict.NotRun {
+			c.m.notRun.Inc()
+		} else {
+			c.m.mayHaveRun.Inc()
+		}
+	}
+	if c.id == "" {
+		return
+	}
+	route, age := "", time.Duration(0)
+	if c.route != nil {
+		route = c.route.Name
+	}
+	age = time.Since(c.begin)
+	c.o.c.Log.Log(evRefusal).Str("id", c.id).Str("route", route).Str("endpoint", c.last).Int("status", f.Status).
+		Str("verdict", f.Verdict.String()).Str("reason", f.Text).Int("offers", c.offers).Int("arrivals", c.arrivals).
+		Uint("version", uint64(c.version)).Int("ms", int(age.Milliseconds())).Int("retry_after_ms", int(f.RetryAfter.Milliseconds())).Send()
 }
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -19,6 +19,18 @@
 	zoneFactor = 1.5
 	// leastWeight is the share of a cold endpoint at the begin of its slow start.
 	leastWeight = 0.1
+	// observeWeight is the part of a new observation in the smoothed figures of an
+	// endpoint.
+	observeWeight = 0.1
+	// failureWeight multiplies the score of an endpoint that fails every call.
+	failureWeight = 8
+	// slowLeast and slowMost bound the effect of an endpoint's relative duration.
+	slowLeast, slowMost = 0.4, 8
+	// wholeSet is the number of endpoints up to which all are compared; in larger
+	// sets two drawn at random are.
+	wholeSet = 8
+	// busyLoad is the load assumed of an endpoint that has just rejected a call.
+	busyLoad = 2
 	// An ejection lasts ejectBase, doubled with each one in a row up to ejectMost.
 	ejectBase = time.Second
 	ejectMost = 30 * time.Second
@@ -42,6 +54,8 @@
 	OutcomeBusy
 	// OutcomeLeaving is a rejection by an endpoint that is leaving.
 	OutcomeLeaving
+	// OutcomeShed is a proof of the upstream itself that it did not run the call.
+	OutcomeShed
 	// OutcomeNeutral tells nothing: the caller gave up.
 	OutcomeNeutral
 )
@@ -49,10 +63,14 @@
 // endpoint is the own knowledge of one endpoint.
 type endpoint struct {
 	resource.Endpoint
-	inflight  int
-	load      float64
-	loadAt    time.Time
-	seen      time.Time
+	inflight int
+	load     float64
+	loadAt   time.Time
+	seen     time.Time
+	// slow is the smoothed duration of its calls relative to that of their class.
+	slow float64
+	// failing is the smoothed share of calls that failed.
+	failing   float64
 	failures  int
 	ejections int
 	ejected   time.Time // until when
@@ -82,7 +100,7 @@
 	for _, r := range from.Endpoints {
 		e := old[r.Node]
 		if e == nil || e.Incarnation != r.Incarnation || e.Address != r.Address {
-			e = &endpoint{seen: now}
+			e = &endpoint{seen: now, slow: 1}
 		} else if e.State != r.State && r.State == resource.StateReady {
 			e.seen = now
 		}
@@ -102,13 +120,20 @@
 	return min(1, max(leastWeight, float64(age)/float64(slow)))
 }
 
-// score is the expected business of the endpoint with one more call.
+// score is the expected time of one more call at the endpoint, relative to that at
+// an idle endpoint of the usual speed. The load that the endpoint last reported
+// includes calls of other nodes; own calls since then are only in the own count.
 func (e *endpoint) score(now time.Time, slow time.Duration) float64 {
-	v := float64(e.inflight+1) / (float64(max(e.Slots, 1)) * e.weight(now, slow))
+	slots := float64(max(e.Slots, 1))
+	v := float64(e.inflight+1) / slots
 	if now.Sub(e.loadAt) < loadTrust {
-		v += loadWeight * e.load
+		v = max(v, e.load+1/slots)
 	}
-	return v + float64(e.failures)
+	v /= e.weight(now, slow)
+	if e.slow > 0 {
+		v *= min(max(e.slow, slowLeast), slowMost)
+	}
+	return v*(1+failureWeight*e.failing) + float64(e.failures)
 }
 
 // avoided reports whether the endpoint is ejected or said that it leaves.
@@ -154,22 +179,32 @@
 	return l
 }
 
-// better is the less busy one of two that are drawn at random.
+// better is the least busy endpoint of a small list, and the less busy one of two
+// that are drawn at random from a large one: with many nodes, all of them would
+// otherwise choose the same endpoint until its load is reported.
 func better(list []*endpoint, now time.Time, slow time.Duration, intn func(int) int) *endpoint {
-	switch len(list) {
-	case 0:
+	if len(list) == 0 {
 		return nil
-	case 1:
-		return list[0]
 	}
-	i, j := intn(len(list)), intn(len(list)-1)
-	if j >= i {
-		j++
+	if len(list) > wholeSet {
+		i, j := intn(len(list)), intn(len(list)-1)
+		if j >= i {
+			j++
+		}
+		if list[j].score(now, slow) < list[i].score(now, slow) {
+			i = j
+		}
+		return list[i]
 	}
-	if list[j].score(now, slow) < list[i].score(now, slow) {
-		i = j
+	first := intn(len(list)) // equal scores are taken in turn
+	best, least := list[first], list[first].score(now, slow)
+	for i := 1; i < len(list); i++ {
+		e := list[(first+i)%len(list)]
+		if v := e.score(now, slow); v < least {
+			best, least = e, v
+		}
 	}
-	return list[i]
+	return best
 }
 
 func contains(list []*endpoint, e *endpoint) bool {
@@ -186,6 +221,12 @@
 func (s *set) done(e *endpoint, o Outcome, ejectAfter int, now time.Time) (ejected bool) {
 	e.inflight--
 	switch o {
+	case OutcomeAnswer, OutcomeFailure, OutcomeShed:
+		e.failing += observeWeight * (oneIf(o != OutcomeAnswer) - e.failing)
+	case OutcomeBusy:
+		e.load, e.loadAt = max(e.load, busyLoad), now
+	}
+	switch o {
 	case OutcomeAnswer:
 		e.failures, e.ejections, e.leaving = 0, 0, time.Time{}
 	case OutcomeFailure:
@@ -206,6 +247,18 @@
 	return true
 }
 
+// took notes the duration of an answered call relative to that of its class.
+func (e *endpoint) took(relative float64) {
+	e.slow += observeWeight * (min(relative, slowMost) - e.slow)
+}
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // mayEject keeps at least half of the set: one fault seen by this node only, such
 // as its own broken network, must not empty the set.
 func (s *set) mayEject(now time.Time) bool {
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -15,16 +15,24 @@
 // call is one call of a caller. It is used by one goroutine at a time: that of
 // the caller's connection, then a worker, then the former again.
 type call struct {
-	o        *Outbound
-	w        http.ResponseWriter
-	r        *http.Request
-	route    *resource.Route
-	cluster  *resource.Cluster
+	o       *Outbound
+	w       http.ResponseWriter
+	r       *http.Request
+	route   *resource.Route
+	cluster *resource.Cluster
+	// id names the call in logs; empty when the caller gave none.
+	id       string
+	version  resource.Version
+	begin    time.Time
 	deadline time.Time
 	body     *httpcall.Body
 	// key is the Idempotency-Key of a call that must run at most once over repeats.
 	key string
 	m   *callMetrics
+	// offers counts the dispatches that no upstream has received, arrivals the others.
+	offers, arrivals int
+	// last is the node of the newest dispatch.
+	last string
 	// mayHaveRun is set once an attempt may have run; a later proof that another
 	// attempt did not run does not take it back.
 	mayHaveRun bool
@@ -44,10 +52,9 @@
 	now := time.Now()
 	c.o.queueTime.Update(now.Sub(c.queued).Seconds())
 	c.o.table.begin(c.cluster, now)
-	idem := c.key == "" && idempotent(c.r.Method, c.route.Idempotent)
 	tried := c.tried[:0]
 	last := httpcall.NewFailure(httpcall.KindUnreachable, verdict.NotRun, errNoEndpoint)
-	for attempts := 1; ; attempts++ {
+	for {
 		e, to := c.choose(tried)
 		if e == nil {
 			break
@@ -57,8 +64,7 @@
 			return
 		}
 		last = f
-		c.mayHaveRun = c.mayHaveRun || f.Verdict() != verdict.NotRun
-		if c.key != "" || !mayRetry(f, idem, c.body.CanSend(), attempts, c.route.MaxAttempts) || !c.o.table.retry(c.cluster) {
+		if !c.again(f) {
 			break
 		}
 		// The only endpoint of a set is tried again after a cut.
@@ -66,10 +72,42 @@
 			tried = append(tried, e)
 		}
 		c.m.retries.Inc()
+		c.logRetry(f, to.Node)
 	}
 	c.fail(last)
 }
 
+// again decides whether the call is dispatched once more after f.
+func (c *call) again(f *httpcall.Failure) bool {
+	c.mayHaveRun = c.mayHaveRun || f.Verdict() != verdict.NotRun
+	if arrived(f) {
+		c.arrivals++
+	} else {
+		c.offers++
+	}
+	idem := c.key == "" && !c.route.AtMostOnce && idempotent(c.r.Method, c.route.Idempotent)
+	if c.key != "" || c.offers >= maxOffers || !mayRetry(f, idem, c.body.CanSend(), c.arrivals, c.route.MaxAttempts) {
+		return false
+	}
+	now := time.Now()
+	if c.arrivals == 0 {
+		return true
+	}
+	// An attempt that cannot end in time would only take a slot from another call.
+	if c.deadline.Sub(now) < c.o.classes.mean(c.route.Name)/2 {
+		return false
+	}
+	return c.o.table.retry(c.cluster, now)
+}
+
+func (c *call) logRetry(f *httpcall.Failure, node string) {
+	if c.id == "" {
+		return
+	}
+	c.o.c.Log.Log(evRetry).Str("id", c.id).Str("route", c.route.Name).Str("endpoint", node).Str("kind", f.Kind.String()).
+		Str("reason", f.Reason).Str("verdict", f.Verdict().String()).Int("offers", c.offers).Int("arrivals", c.arrivals).Send()
+}
+
 // choose returns the endpoint of the next attempt, or nil.
 func (c *call) choose(tried []*endpoint) (*endpoint, httpcall.Target) {
 	if c.key == "" {
@@ -104,10 +142,13 @@
 	c.url = *c.r.URL
 	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
 	c.call.Service, c.call.Organisation = c.cluster.Service, c.route.Organisation
+	c.call.ID, c.call.Caller, c.call.Priority, c.call.Target = c.id, c.o.s.Service, c.route.Priority, c.route.Target()
+	c.last = to.Node
+	sent := time.Now()
 	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
-		Call: &c.call, Body: c.body, Deadline: c.deadline, Unblock: c.unblock,
+		Call: &c.call, Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.o.s.BufferBytes,
 	})
 	if f == nil {
 		f = c.reported(x)
@@ -122,6 +163,10 @@
 	if load, ok := httpcall.ParseLoad(x.Response.Header.Get(httpcall.HeaderLoad)); ok {
 		c.o.table.loaded(e, load, time.Now())
 	}
+	if x.Response.StatusCode < http.StatusInternalServerError {
+		relative := c.o.classes.observe(c.route.Name, time.Since(sent))
+		c.o.table.took(e, relative)
+	}
 	if c.forward(x) {
 		c.settle(e, to.Node, OutcomeAnswer)
 	} else {
--- a/plugin/outbound/decide_test.go
+++ b/plugin/outbound/decide_test.go
@@ -174,10 +174,12 @@
 // Guards against retries that multiply the load of a cluster in trouble.
 func TestRetryBudget(t *testing.T) {
 	var b budget
+	a := Allowance{Ratio: 0.2, Least: budgetLeast, Window: budgetWindow}
 	retries := 0
 	for i := range 1000 {
-		b.call(20, start.Add(time.Duration(i)*time.Millisecond))
-		for b.retry() {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		b.call(a, now)
+		for b.retry(a, now) {
 			retries++
 		}
 	}
@@ -186,6 +188,55 @@
 	}
 }
 
+// Guards against retries that exceed the allowance in some sliding window, which a
+// budget that saves up tokens allows after a quiet time.
+func TestRetryBudgetOfEachWindow(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(3)
+	props := gopter.NewProperties(params)
+	props.Property("at each retry the window before it holds no more than it allows", prop.ForAllNoShrink(func(gaps []int) bool {
+		var b budget
+		a := Allowance{Ratio: 0.2, Least: 4, Window: 10 * time.Second}
+		now := start
+		var calls, retries []time.Time
+		for _, gap := range gaps {
+			now = now.Add(time.Duration(gap) * time.Millisecond)
+			b.call(a, now)
+			calls = append(calls, now)
+			for b.retry(a, now) {
+				retries = append(retries, now)
+				if float64(since(retries, now.Add(-a.Window))) > a.Least+a.Ratio*float64(since(calls, now.Add(-a.Window*11/10))) {
+					return false
+				}
+			}
+		}
+		return true
+	}, gen.SliceOfN(300, gen.IntRange(0, 400))))
+	props.TestingRun(t)
+}
+
+func since(times []time.Time, from time.Time) (n int) {
+	for _, t := range times {
+		if t.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against shares of a split that drift from the weights.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	s := newSplit([]resource.Share{{Cluster: "a", Weight: 90}, {Cluster: "b", Weight: 10}}, rand.New(rand.NewPCG(1, 1)).IntN)
+	n := 0
+	for range 1000 {
+		if s.next() == "b" {
+			n++
+		}
+	}
+	if n != 100 {
+		t.Fatalf("%d of 1000 requests go to a part of 10 percent", n)
+	}
+}
+
 // Guards against retries of calls that may have run, of answers to dead callers,
 // and of calls whose body is gone.
 func TestRetryRules(t *testing.T) {
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/verdict"
@@ -30,6 +31,9 @@
 var (
 	evListening = event.Declare(750, zerolog.InfoLevel, "listening for callers")
 	evEjected   = event.Declare(751, zerolog.WarnLevel, "endpoint ejected")
+	evAnswered  = event.Declare(753, zerolog.InfoLevel, "call answered")
+	evRefusal   = event.Declare(754, zerolog.InfoLevel, "call not answered by an upstream")
+	evRetry     = event.Declare(755, zerolog.InfoLevel, "dispatch failed; the call is sent again")
 	evCut       = event.Declare(752, zerolog.WarnLevel, "response was cut; the caller's connection is aborted")
 )
 
@@ -44,14 +48,17 @@
 
 // Outbound is the plug-in.
 type Outbound struct {
-	c      *kernel.Context
-	s      *Settings
-	view   api.View
-	peer   *peer.Peer
-	table  *table
-	client *httpcall.Client
-	pool   *pool.Pool
-	server *http.Server
+	c     *kernel.Context
+	s     *Settings
+	view  api.View
+	peer  *peer.Peer
+	table *table
+	// dialect translates the headers of callers.
+	dialect dialect.Dialect
+	classes classes
+	client  *httpcall.Client
+	pool    *pool.Pool
+	server  *http.Server
 	// started is set once client can be used by other goroutines: the view may
 	// change before Start.
 	started atomic.Bool
@@ -71,11 +78,19 @@
 	view := kernel.Use[api.View](c, "view")
 	o := &Outbound{
 		c: c, s: c.Settings.(*Settings), view: view, peer: kernel.Use[*peer.Peer](c, "peer"),
-		table:      newTable(c.Instance.AvailabilityZone, view.Current, c.Rand()),
+		table:   newTable(c.Instance.AvailabilityZone, view.Current, c.Rand()),
+		dialect: dialect.Native{}, classes: classes{means: map[string]float64{}},
 		dispatches: c.Metrics.NewCounter(`celeryyard_dispatches_total{side="outbound"}`),
 		ejections:  c.Metrics.NewCounter("celeryyard_ejections_total"),
 		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="outbound"}`),
 	}
+	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
+		o.dialect = d
+	}
+	if o.s.RetryRatio > 0 {
+		o.table.shared = true
+		o.table.allowance = Allowance{Ratio: o.s.RetryRatio, Least: float64(o.s.RetryAllowance), Window: o.s.RetryWindow.D()}
+	}
 	o.byOrganisation.Store(&map[string]*callMetrics{})
 	o.view.Watch(o.changed)
 	return o
@@ -88,7 +103,7 @@
 	}
 	o.client = httpcall.NewClient(httpcall.ClientOptions{
 		Authenticate: true, Key: o.peer.Key(), IdleTimeout: o.s.ClientIdle.D(), MaxIdle: o.s.MaxIdle,
-		DialTimeout: o.s.DialTimeout.D(), Rank: rank.Routing, Dispatches: o.dispatches,
+		DialTimeout: o.s.DialTimeout.D(), SilenceTimeout: o.s.SilenceTimeout.D(), Rank: rank.Routing, Dispatches: o.dispatches,
 	})
 	o.started.Store(true)
 	l, err := net.Listen("tcp", o.s.Listen)
@@ -133,32 +148,40 @@
 
 // ServeHTTP handles one call. It implements http.Handler.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if o.c.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	asked, err := o.dialect.ReadCall(r.Header)
+	c := &call{o: o, w: w, r: r, id: asked.ID, begin: time.Now()}
+	if err != nil {
+		c.refuse(http.StatusBadRequest, verdict.NotRun, err.Error())
+		return
+	}
 	snapshot := o.view.Current()
-	if snapshot == nil {
-		refuse(w, http.StatusServiceUnavailable, verdict.NotRun, "this node holds no configuration yet")
+	if snapshot == nil || len(snapshot.Routes) == 0 {
+		c.refuse(http.StatusServiceUnavailable, verdict.NotRun, "this node holds no configuration yet")
 		return
 	}
-	route := snapshot.Table.Find(r.Method, r.Host, r.URL.Path)
-	if route == nil || r.Method == http.MethodConnect {
-		refuse(w, http.StatusNotFound, verdict.NotRun, "no route matches the request")
+	c.version = snapshot.Version
+	c.route = snapshot.Table.Find(r.Method, r.Host, r.URL.Path)
+	if c.route == nil || r.Method == http.MethodConnect {
+		c.refuse(http.StatusNotFound, verdict.NotRun, "no route matches the request")
 		return
 	}
-	c := &call{o: o, w: w, r: r, route: route, cluster: snapshot.Clusters[route.Cluster], m: o.metricsOf(route.Organisation)}
-	if err := c.prepare(); err != nil {
-		c.m.notRun.Inc()
+	c.cluster, c.m = snapshot.Clusters[o.table.part(c.route)], o.metricsOf(c.route.Organisation)
+	if err := c.prepare(asked.Timeout); err != nil {
 		w.Header().Set("Connection", "close")
-		refuse(w, http.StatusBadRequest, verdict.NotRun, err.Error())
+		c.refuse(http.StatusBadRequest, verdict.NotRun, err.Error())
 		return
 	}
 	defer c.body.Release()
 	c.queued = time.Now()
-	err := httpcall.Run(r.Context(), o.pool, route.Organisation, c.deadline, c.run)
+	err = httpcall.Run(r.Context(), o.pool, c.route.Organisation, c.deadline, c.run)
 	if err != nil {
-		c.m.notRun.Inc()
 		if !c.body.Whole() {
 			w.Header().Set("Connection", "close")
 		}
-		refuse(w, http.StatusServiceUnavailable, verdict.NotRun, fmt.Sprintf("no worker took the call: %v", err))
+		c.refuse(http.StatusServiceUnavailable, verdict.NotRun, fmt.Sprintf("no worker took the call: %v", err))
 		return
 	}
 	if c.aborted {
@@ -166,17 +189,14 @@
 	}
 }
 
-// prepare reads the caller's limits and the kept part of the body.
-func (c *call) prepare() error {
+// prepare sets the deadline and reads the kept part of the body. wait is how long
+// the caller waits; 0 when it does not say.
+func (c *call) prepare(wait time.Duration) error {
 	timeout := c.route.Timeout()
-	if v := c.r.Header.Get(httpcall.HeaderTimeout); v != "" {
-		d, err := httpcall.ParseTimeout(v)
-		if err != nil {
-			return err
-		}
-		timeout = min(timeout, d)
+	if wait > 0 {
+		timeout = min(timeout, wait)
 	}
-	c.deadline = time.Now().Add(timeout)
+	c.deadline = c.begin.Add(timeout)
 	if keys := c.r.Header[httpcall.HeaderKey]; len(keys) > 0 && !idempotent(c.r.Method, false) {
 		if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
 			return errors.Newf("%s must be one value of 1 to %d bytes", httpcall.HeaderKey, maxKeyBytes)
--- a/plugin/outbound/retry.go
+++ b/plugin/outbound/retry.go
@@ -7,6 +7,15 @@
 	"github.com/celeryyard/celeryyard/core/verdict"
 )
 
+// maxOffers bounds the dispatches of one call that no upstream has received.
+const maxOffers = 4
+
+// arrived reports whether the failed dispatch may have reached an upstream. Such
+// dispatches are bounded by the route and draw on the retry budget.
+func arrived(f *httpcall.Failure) bool {
+	return f.Verdict() != verdict.NotRun || f.Kind == httpcall.KindRejected && f.Reason == httpcall.ReasonUpstream
+}
+
 // idempotent reports whether a call may run more than once.
 func idempotent(method string, route bool) bool {
 	return route || method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
@@ -52,7 +61,9 @@
 	switch reason {
 	case httpcall.ReasonUnreachable, httpcall.ReasonNoUpstream, httpcall.ReasonService:
 		return OutcomeRefused
-	case httpcall.ReasonLeaving:
+	case httpcall.ReasonUpstream:
+		return OutcomeShed
+	case httpcall.ReasonLeaving, httpcall.ReasonIdentity:
 		return OutcomeLeaving
 	}
 	return OutcomeBusy
--- a/plugin/outbound/setup.go
+++ b/plugin/outbound/setup.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/settings"
 )
@@ -11,17 +12,22 @@
 	kernel.Register(kernel.Registration{
 		Name:  "outbound",
 		Needs: []string{"peer", "view"},
+		After: []string{dialect.Name},
 		Settings: func() any {
 			return &Settings{
 				Workers: 256, Queue: 256,
 				ClientIdle: settings.Duration(30 * time.Second), CallerIdle: settings.Duration(2 * time.Minute),
-				DialTimeout: settings.Duration(time.Second), MaxIdle: 16,
+				DialTimeout: settings.Duration(time.Second), SilenceTimeout: settings.Duration(10 * time.Second), MaxIdle: 16,
+				RetryAllowance: budgetLeast, RetryWindow: settings.Duration(budgetWindow),
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newOutbound(c), nil },
 	})
 }
 
+// maxBuffer bounds the memory of one call.
+const maxBuffer = 4 << 20
+
 // Settings configures the plug-in.
 type Settings struct {
 	// Listen is IP:port for callers.
@@ -35,6 +41,21 @@
 	// CallerIdle is how long idle connections of callers are kept.
 	CallerIdle  settings.Duration `json:"caller_idle"`
 	DialTimeout settings.Duration `json:"dial_timeout"`
+	// SilenceTimeout is the time without a sign of another node's kernel after which
+	// a connection to it fails.
+	SilenceTimeout settings.Duration `json:"silence_timeout"`
+	// Service is the service of the upstream beside the node. Upstreams are told
+	// that calls come from it.
+	Service string `json:"service"`
+	// BufferBytes is the length up to which an answer is read as a whole before any
+	// of it is passed on, so that a cut one can be replaced; 0 passes on at once.
+	BufferBytes int `json:"buffer_bytes"`
+	// RetryRatio and RetryAllowance bound the retries of the whole fleet at one
+	// service in each RetryWindow: RetryRatio for each call, and RetryAllowance
+	// besides. A ratio of 0 leaves it to the cluster's percentage, for each node.
+	RetryRatio     float64           `json:"retry_ratio"`
+	RetryAllowance int               `json:"retry_allowance"`
+	RetryWindow    settings.Duration `json:"retry_window"`
 	// MaxIdle bounds the idle connections to one endpoint.
 	MaxIdle int `json:"max_idle"`
 }
@@ -55,6 +76,12 @@
 		return settings.Invalid("caller_idle", "must be positive")
 	case s.DialTimeout <= 0:
 		return settings.Invalid("dial_timeout", "must be positive")
+	case s.SilenceTimeout <= 0:
+		return settings.Invalid("silence_timeout", "must be positive")
+	case s.BufferBytes < 0 || s.BufferBytes > maxBuffer:
+		return settings.Invalid("buffer_bytes", "%d is outside 0..%d", s.BufferBytes, maxBuffer)
+	case s.RetryRatio < 0 || s.RetryRatio > 1 || s.RetryAllowance < 0 || s.RetryWindow.D() < time.Second:
+		return settings.Invalid("retry_ratio", "the ratio must be in 0..1, the allowance not negative, the window at least 1s")
 	case s.MaxIdle < 1:
 		return settings.Invalid("max_idle", "%d is below 1", s.MaxIdle)
 	}
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/celeryyard/celeryyard/core/httpcall"
@@ -9,6 +10,12 @@
 	"github.com/celeryyard/celeryyard/kernel/rank"
 )
 
+// Values of a fleet whose settings state no shared budget.
+const (
+	budgetLeast  = 10
+	budgetWindow = 10 * time.Second
+)
+
 // table holds what this node knows of the endpoints and the retry budgets.
 type table struct {
 	zone    string
@@ -19,24 +26,61 @@
 	rng     *rand.Rand
 	sets    map[string]*set
 	budgets map[string]*budget
+	// splits holds the state of the routes that divide their requests.
+	splits map[string]*split
+	// nodes is the number of nodes in the fleet as far as known.
+	nodes int
+	// allowance is that of the whole fleet; a Ratio of 0 leaves it to the cluster.
+	allowance Allowance
+	// shared tells that allowance.Least is shared by all nodes of the fleet.
+	shared bool
 }
 
 func newTable(zone string, current func() *resource.Snapshot, rng *rand.Rand) *table {
-	return &table{zone: zone, current: current, mu: rank.New(rank.Balancer), rng: rng, sets: map[string]*set{}, budgets: map[string]*budget{}}
+	return &table{zone: zone, current: current, mu: rank.New(rank.Balancer), rng: rng, sets: map[string]*set{}, budgets: map[string]*budget{}, splits: map[string]*split{}, nodes: 1, allowance: Allowance{Least: budgetLeast, Window: budgetWindow}}
 }
 
 // begin counts a call of the cluster for its retry budget.
 func (t *table) begin(c *resource.Cluster, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.budget(c).call(c.RetryBudgetPercent, now)
+	t.budget(c).call(t.allowed(c), now)
+}
+
+// allowed is this node's part of the retries of a cluster; mu is held.
+func (t *table) allowed(c *resource.Cluster) Allowance {
+	a := t.allowance
+	if a.Ratio == 0 {
+		a.Ratio = float64(c.RetryBudgetPercent) / 100
+		return a
+	}
+	a.Ratio *= budgetMargin
+	if t.shared {
+		a.Least *= budgetMargin / float64(max(t.nodes, 1))
+	}
+	return a
 }
 
 // retry takes one retry of the cluster's budget.
-func (t *table) retry(c *resource.Cluster) bool {
+func (t *table) retry(c *resource.Cluster, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.budget(c).retry()
+	return t.budget(c).retry(t.allowed(c), now)
+}
+
+// part chooses the cluster of a request.
+func (t *table) part(r *resource.Route) string {
+	if len(r.Split) == 0 {
+		return r.Cluster
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.splits[r.Name]
+	if s == nil || !slices.Equal(s.shares, r.Split) {
+		s = newSplit(r.Split, t.rng.IntN)
+		t.splits[r.Name] = s
+	}
+	return s.next()
 }
 
 func (t *table) budget(c *resource.Cluster) *budget {
@@ -105,6 +149,13 @@
 	e.load, e.loadAt = load, now
 }
 
+// took notes the relative duration of a call.
+func (t *table) took(e *endpoint, relative float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.took(relative)
+}
+
 // apply takes over a new snapshot. Snapshots are applied in their order.
 func (t *table) apply(s *resource.Snapshot, now time.Time) {
 	t.mu.Lock()
@@ -116,6 +167,15 @@
 			delete(t.sets, name)
 		}
 	}
+	t.nodes = 0
+	for _, set := range s.Sets {
+		t.nodes += len(set.Endpoints)
+	}
+	for name := range t.splits {
+		if r := s.Routes[name]; r == nil || len(r.Split) == 0 {
+			delete(t.splits, name)
+		}
+	}
 	for name := range t.budgets {
 		if s.Clusters[name] == nil {
 			delete(t.budgets, name)
--- a/test/dataplane/fakes_test.go
+++ b/test/dataplane/fakes_test.go
@@ -70,6 +70,9 @@
 	return a.draining
 }
 
+func (a *fakeAnnounce) UpstreamID() string { return "" }
+func (a *fakeAnnounce) Closed() bool       { return false }
+
 func (a *fakeAnnounce) OnLeave(f func(done func())) { a.last = f }
 
 func (a *fakeAnnounce) Leave(done func()) {
