--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -39,6 +39,9 @@
 	Clock clock.Clock
 	// Bootstrap is handed to the plug-ins.
 	Bootstrap bool
+	// Path is the settings file, which is read again on SIGHUP and when it has
+	// changed; empty for settings that never change.
+	Path string
 }
 
 // Kernel runs the plug-ins of one process. Several kernels can run in one
@@ -54,6 +57,7 @@
 	clock    clock.Clock
 	ctx      context.Context
 	cancel   context.CancelFunc
+	path     string
 
 	stopping atomic.Bool
 
@@ -149,7 +153,7 @@
 	k := &Kernel{
 		instance: in, order: order, plugins: map[string]Plugin{},
 		log: event.NewLogger(o.Log, level).With("instance", in.Name), metrics: metrics.NewSet(),
-		clock: o.Clock, mu: rank.New(rank.Kernel), failed: make(chan error, 1),
+		clock: o.Clock, path: o.Path, mu: rank.New(rank.Kernel), failed: make(chan error, 1),
 	}
 	if k.clock == nil {
 		k.clock = clock.System{}
--- a/kernel/program.go
+++ b/kernel/program.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/oklog/run"
 
+	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/settings"
 )
 
@@ -79,7 +80,9 @@
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitUsage
 	}
-	o := Options{Plugins: plugins, Settings: file, Log: os.Stderr, Bootstrap: f.Bootstrap}
+	logs := event.NewWriter(os.Stdout)
+	defer logs.Flush()
+	o := Options{Plugins: plugins, Settings: file, Log: logs, Bootstrap: f.Bootstrap, Path: f.Settings}
 	if err := CheckFiles(o); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitUsage
@@ -93,6 +96,7 @@
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitUsage
 	}
+	countLogs(k, logs)
 	if err := runGroup(k); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitFailure
@@ -100,12 +104,24 @@
 	return ExitOK
 }
 
+// countLogs shows the volume of the log among the metrics.
+func countLogs(k *Kernel, w *event.Writer) {
+	for name, pick := range map[string]func(lines, bytes, dropped uint64) uint64{
+		"celeryyard_log_lines_total":         func(l, _, _ uint64) uint64 { return l },
+		"celeryyard_log_bytes_total":         func(_, b, _ uint64) uint64 { return b },
+		"celeryyard_log_dropped_lines_total": func(_, _, d uint64) uint64 { return d },
+	} {
+		k.metrics.NewGauge(name, func() float64 { return float64(pick(w.Counts())) })
+	}
+}
+
 // runGroup runs the kernel until it ends or a signal asks it to stop.
 func runGroup(k *Kernel) error {
 	var g run.Group
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return k.Run(ctx) }, func(error) { cancel() })
 	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
+	g.Add(func() error { return k.watchSettings(ctx) }, func(error) { cancel() })
 	err := g.Run()
 	if errors.Is(err, run.ErrSignal) {
 		return nil
--- a/kernel/registry.go
+++ b/kernel/registry.go
@@ -27,6 +27,11 @@
 // once, before the drain time of the process begins; it must not block.
 type Drainer interface{ Drain() }
 
+// Reloader is implemented by plug-ins whose settings may change while they run.
+// Reload gets a new, valid section of the type that Registration.Settings returns
+// and takes over what can change; it must not block.
+type Reloader interface{ Reload(settings any) }
+
 // Registration describes a plug-in to the kernel.
 type Registration struct {
 	// Name is the name of the plug-in and of its settings section.
--- a/plugin/admin/plugin.go
+++ b/plugin/admin/plugin.go
@@ -73,11 +73,19 @@
 	return nil
 }
 
-func (a *Admin) ready(e echo.Context) error {
+// Check runs the checks of readiness and returns the first failure.
+func (a *Admin) Check() error {
 	for _, check := range a.checks {
 		if err := check(); err != nil {
-			return e.String(http.StatusServiceUnavailable, err.Error()+"\n")
+			return err
 		}
 	}
+	return nil
+}
+
+func (a *Admin) ready(e echo.Context) error {
+	if err := a.Check(); err != nil {
+		return e.String(http.StatusServiceUnavailable, err.Error()+"\n")
+	}
 	return e.String(http.StatusOK, "ready\n")
 }
--- a/plugin/peer/directory.go
+++ b/plugin/peer/directory.go
@@ -133,3 +133,13 @@
 
 // directoryKey orders the notifications of learned instances.
 const directoryKey = "peer/directory"
+
+// Reload implements kernel.Reloader: the seeds may change while the process runs.
+func (p *Peer) Reload(s any) {
+	next := s.(*Settings)
+	for _, seed := range next.Seeds {
+		if m, ok := next.seed(seed); ok {
+			p.Learn(m)
+		}
+	}
+}
