--- a/core/httpcall/headers.go
+++ b/core/httpcall/headers.go
@@ -66,6 +66,9 @@
 	Priority int
 	// Target is the latency that the caller wants, in whole milliseconds; 0 for none.
 	Target time.Duration
+	// Patience is how long the call may still wait in queues, in whole milliseconds.
+	// It counts for calls with a Target.
+	Patience time.Duration
 	// Keyed marks a call with an Idempotency-Key whose primary is the receiver.
 	Keyed bool
 	// BackupNode and BackupAddress name the second holder of the claim; empty
@@ -80,12 +83,12 @@
 }
 
 // callVersion starts each call header.
-const callVersion = "2"
+const callVersion = "3"
 
 // Fields of a call header, without and with those of a keyed call.
 const (
-	callFields  = 8
-	keyedFields = 10
+	callFields  = 9
+	keyedFields = 11
 )
 
 // Encode returns the header value of the call.
@@ -99,6 +102,7 @@
 	b = append(append(b, ';'), url.PathEscape(c.Caller)...)
 	b = strconv.AppendInt(append(b, ';'), int64(c.Priority), 10)
 	b = strconv.AppendInt(append(b, ';'), c.Target.Milliseconds(), 10)
+	b = strconv.AppendInt(append(b, ';'), c.Patience.Milliseconds(), 10)
 	if c.Keyed {
 		b = append(append(b, ';'), url.PathEscape(c.BackupNode)...)
 		b = append(append(b, ';'), url.PathEscape(c.BackupAddress)...)
@@ -130,6 +134,9 @@
 	if c.Target, err = ParseTimeout(f[7]); err != nil {
 		return Call{}, err
 	}
+	if c.Patience, err = ParseTimeout(f[8]); err != nil {
+		return Call{}, err
+	}
 	if c.Priority, err = strconv.Atoi(f[6]); err != nil || c.Priority < 0 {
 		return Call{}, errors.Newf("call header has priority %q", f[6])
 	}
@@ -137,7 +144,7 @@
 	texts := []struct {
 		into *string
 		at   int
-	}{{&c.Service, 2}, {&c.Organisation, 3}, {&c.ID, 4}, {&c.Caller, 5}, {&c.BackupNode, 8}, {&c.BackupAddress, 9}}
+	}{{&c.Service, 2}, {&c.Organisation, 3}, {&c.ID, 4}, {&c.Caller, 5}, {&c.BackupNode, 9}, {&c.BackupAddress, 10}}
 	for _, t := range texts {
 		if *t.into, err = url.PathUnescape(f[t.at]); err != nil {
 			return Call{}, errors.Wrap(err, "call header")
--- a/core/httpcall/httpcall_test.go
+++ b/core/httpcall/httpcall_test.go
@@ -341,7 +341,7 @@
 
 // FuzzParseCall guards against call headers that crash or do not survive a round trip.
 func FuzzParseCall(f *testing.F) {
-	for _, s := range []string{"2;250;svc;org;id;caller;1;400", "2;1;a%3Bb;Fundaci%C3%B3n;;;0;0;n;127.0.0.1:1", "2;;;;;;;", "1;9;;", ";;;;;;;"} {
+	for _, s := range []string{"3;250;svc;org;id;caller;1;400;200", "3;1;a%3Bb;Fundaci%C3%B3n;;;0;0;0;n;127.0.0.1:1", "3;;;;;;;;", "1;9;;", ";;;;;;;"} {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, s string) {
--- a/plugin/inbound/admission.go
+++ b/plugin/inbound/admission.go
@@ -31,9 +31,24 @@
 // errEvicted is given to a waiting call that made room for a more urgent one.
 var errEvicted = errors.New("a more urgent call took the place in the queue")
 
-// maxClasses bounds the table of costs.
+// maxClasses bounds the tables of classes.
 const maxClasses = 256
 
+const (
+	// reserveSlots is kept free of long jobs while shorter, more urgent ones arrive.
+	reserveSlots = 1
+	// reserveRatio is how many times longer a job must be to leave the reserve.
+	reserveRatio = 2
+	// urgentFor is how long a class counts as arriving after its last job.
+	urgentFor = time.Second
+)
+
+// urgent is the last arrival of a class of jobs.
+type urgent struct {
+	priority int
+	seen     time.Time
+}
+
 // share is one organisation's part of the slots.
 type share struct {
 	name    string
@@ -70,6 +85,8 @@
 	queued       int
 	// costs holds the smoothed duration of the jobs of each class.
 	costs map[string]time.Duration
+	// urgent tells when a job of each class was seen last.
+	urgent map[string]urgent
 	// evicted jobs are dropped with the next Pop.
 	evicted []*pool.Job
 }
@@ -77,7 +94,7 @@
 // newAdmission returns the discipline for a number of slots; limit bounds the
 // queue of one organisation. least estimates the shortest useful run of a call.
 func newAdmission(slots, limit int, least *estimate) *Admission {
-	return &Admission{slots: slots, limit: limit, least: least, running: map[*pool.Job]started{}, costs: map[string]time.Duration{}}
+	return &Admission{slots: slots, limit: limit, least: least, running: map[*pool.Job]started{}, costs: map[string]time.Duration{}, urgent: map[string]urgent{}}
 }
 
 // Push implements pool.Queue.
@@ -87,6 +104,9 @@
 		return pool.ErrFull
 	}
 	s.seen = now
+	if j.Class != "" && len(a.urgent) < maxClasses {
+		a.urgent[j.Class] = urgent{j.Priority, now}
+	}
 	wait := a.wait(s, j, now)
 	if !j.Deadline.IsZero() && !now.Add(a.least.at(now)+wait).Before(j.Deadline) {
 		return errHopeless
@@ -211,6 +231,9 @@
 	if free <= 0 {
 		return false
 	}
+	if a.reserved(s, now) && free <= reserveSlots && a.slots > 2*reserveSlots {
+		return false
+	}
 	fair := a.fair(now)
 	if s.running < fair {
 		return true
@@ -225,6 +248,21 @@
 	return free > min(kept, a.slots/2)
 }
 
+// reserved reports whether the next job of a share must leave room for more urgent
+// ones that are much shorter: they would otherwise wait for the end of a long job.
+func (a *Admission) reserved(s *share, now time.Time) bool {
+	if len(s.queue) == 0 || s.queue[0].Class == "" {
+		return false
+	}
+	next := s.queue[0]
+	for class, u := range a.urgent {
+		if u.priority < next.Priority && now.Sub(u.seen) < urgentFor && reserveRatio*a.cost(s, class) < a.cost(s, next.Class) {
+			return true
+		}
+	}
+	return false
+}
+
 // Pop implements pool.Queue.
 func (a *Admission) Pop(now time.Time) (*pool.Job, []*pool.Job) {
 	dropped := append(a.evicted, a.dropLate(now)...)
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -131,7 +131,7 @@
 		return ""
 	case errors.Is(err, pool.ErrFull), errors.Is(err, errEvicted):
 		return httpcall.ReasonFull
-	case errors.Is(err, errTooLong), errors.Is(err, pool.ErrExpired) && time.Now().Before(c.deadline):
+	case errors.Is(err, errTooLong), errors.Is(err, errHopeless), errors.Is(err, pool.ErrExpired) && time.Now().Before(c.deadline):
 		return httpcall.ReasonWait
 	case errors.Is(err, pool.ErrClosed):
 		return httpcall.ReasonLeaving
@@ -139,13 +139,17 @@
 	return httpcall.ReasonExpired
 }
 
+// leastWait is granted to a call that has used up its patience at other endpoints:
+// it takes a slot that is free now or is about to be.
+const leastWait = 2 * time.Millisecond
+
 // job describes the call to the queue of the slots. A call whose caller states a
-// target is not worth more than a part of it in the queue.
+// target waits no longer than its patience, which it takes along from one endpoint
+// to the next.
 func (c *call) job() pool.Job {
 	j := pool.Job{Group: c.info.Organisation, Deadline: c.deadline, Priority: c.info.Priority}
 	if c.info.Target > 0 {
-		j.Class = c.info.Class()
-		j.MaxWait = time.Duration(float64(c.info.Target) * c.in.s.WaitShare)
+		j.Class, j.MaxWait = c.info.Class(), max(c.info.Patience, leastWait)
 	}
 	return j
 }
--- a/plugin/inbound/setup.go
+++ b/plugin/inbound/setup.go
@@ -18,7 +18,7 @@
 			return &Settings{
 				QueuePerSlot: 2, NodeIdle: settings.Duration(2 * time.Minute),
 				UpstreamIdle: settings.Duration(4 * time.Second), DialTimeout: settings.Duration(time.Second),
-				SilenceTimeout: settings.Duration(10 * time.Second), WaitShare: 0.5,
+				SilenceTimeout:  settings.Duration(10 * time.Second),
 				HandoverTimeout: settings.Duration(10 * time.Second),
 			}
 		},
@@ -45,8 +45,6 @@
 	// SilenceTimeout is the time without a sign of the upstream's kernel after which
 	// a connection to it fails.
 	SilenceTimeout settings.Duration `json:"silence_timeout"`
-	// WaitShare is the part of a call's target that it may spend in the queue.
-	WaitShare float64 `json:"wait_share"`
 	// BufferBytes is the length up to which an answer is read as a whole before any
 	// of it is passed on, so that a cut one can be replaced; 0 passes on at once.
 	BufferBytes int `json:"buffer_bytes"`
@@ -70,8 +68,6 @@
 		return settings.Invalid("dial_timeout", "must be positive")
 	case s.SilenceTimeout <= 0:
 		return settings.Invalid("silence_timeout", "must be positive")
-	case s.WaitShare <= 0 || s.WaitShare > 10:
-		return settings.Invalid("wait_share", "%v is not above 0 and at most 10", s.WaitShare)
 	case s.BufferBytes < 0 || s.BufferBytes > maxBuffer:
 		return settings.Invalid("buffer_bytes", "%d is outside 0..%d", s.BufferBytes, maxBuffer)
 	case s.HandoverTimeout <= 0:
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -14,8 +14,7 @@
 	// loadTrust is the age at which a reported load is no longer used.
 	loadTrust = 2 * time.Second
 	// An endpoint of another zone is taken only when the own zone's is busier than
-	// zoneBusy and busier than the other one by the factor zoneFactor.
-	zoneBusy   = 0.75
+	// the route allows and busier than the other one by the factor zoneFactor.
 	zoneFactor = 1.5
 	// leastWeight is the share of a cold endpoint at the begin of its slow start.
 	leastWeight = 0.1
@@ -142,9 +141,9 @@
 }
 
 // pick chooses a ready endpoint that is not in tried: fresh ones, then stale
-// ones, then those that are avoided. It returns nil when none is left. intn returns a random
-// number below its argument.
-func (s *set) pick(now time.Time, slow time.Duration, tried []*endpoint, intn func(int) int) *endpoint {
+// ones, then those that are avoided. It returns nil when none is left. spillAt is the score
+// from which calls leave the zone; intn returns a random number below its argument.
+func (s *set) pick(now time.Time, slow time.Duration, tried []*endpoint, spillAt float64, intn func(int) int) *endpoint {
 	for _, tier := range [...]struct{ stale, avoided bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
 		s.local, s.remote = s.local[:0], s.remote[:0]
 		for _, e := range s.list {
@@ -157,7 +156,7 @@
 				s.remote = append(s.remote, e)
 			}
 		}
-		if e := s.zoned(now, slow, intn); e != nil {
+		if e := s.zoned(now, slow, spillAt, intn); e != nil {
 			return e
 		}
 	}
@@ -165,7 +164,7 @@
 }
 
 // zoned takes the own zone's candidate unless it is clearly busier.
-func (s *set) zoned(now time.Time, slow time.Duration, intn func(int) int) *endpoint {
+func (s *set) zoned(now time.Time, slow time.Duration, spillAt float64, intn func(int) int) *endpoint {
 	l, r := better(s.local, now, slow, intn), better(s.remote, now, slow, intn)
 	if l == nil || r == nil {
 		if l != nil {
@@ -173,7 +172,7 @@
 		}
 		return r
 	}
-	if a, b := l.score(now, slow), r.score(now, slow); a > zoneBusy && a > zoneFactor*b {
+	if a, b := l.score(now, slow), r.score(now, slow); a > spillAt && a > zoneFactor*b {
 		return r
 	}
 	return l
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -77,6 +77,12 @@
 	c.fail(last)
 }
 
+// patience is how long the call may still wait for a slot. A call that waits for
+// longer misses its target and holds up those that could still meet theirs.
+func (c *call) patience() time.Duration {
+	return max(time.Duration(c.o.s.WaitShare*float64(c.route.Target()))-time.Since(c.begin), 0)
+}
+
 // again decides whether the call is dispatched once more after f.
 func (c *call) again(f *httpcall.Failure) bool {
 	c.mayHaveRun = c.mayHaveRun || f.Verdict() != verdict.NotRun
@@ -111,7 +117,7 @@
 // choose returns the endpoint of the next attempt, or nil.
 func (c *call) choose(tried []*endpoint) (*endpoint, httpcall.Target) {
 	if c.key == "" {
-		return c.o.table.pick(c.cluster, tried, time.Now())
+		return c.o.table.pick(c.cluster, tried, c.o.classes.spillAt(c.route.Name), time.Now())
 	}
 	id := httpcall.ClaimID(c.route.Organisation, c.cluster.Service, c.key)
 	primary, backup := httpcall.Holders(c.endpoints(), id)
@@ -143,6 +149,7 @@
 	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
 	c.call.Service, c.call.Organisation = c.cluster.Service, c.route.Organisation
 	c.call.ID, c.call.Caller, c.call.Priority, c.call.Target = c.id, c.o.s.Service, c.route.Priority, c.route.Target()
+	c.call.Patience = c.patience()
 	c.last = to.Node
 	sent := time.Now()
 	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
@@ -164,7 +171,7 @@
 		c.o.table.loaded(e, load, time.Now())
 	}
 	if x.Response.StatusCode < http.StatusInternalServerError {
-		relative := c.o.classes.observe(c.route.Name, time.Since(sent))
+		relative := c.o.classes.observe(c.route.Name, time.Since(sent), c.bytes(x.Response))
 		c.o.table.took(e, relative)
 	}
 	if c.forward(x) {
@@ -175,6 +182,14 @@
 	return nil
 }
 
+// headBytes stands for the heads of a request and its answer.
+const headBytes = 700
+
+// bytes is the length of the request and its answer on the way between nodes.
+func (c *call) bytes(r *http.Response) int64 {
+	return headBytes + max(r.ContentLength, 0) + int64(len(c.body.Bytes()))
+}
+
 func (c *call) settle(e *endpoint, node string, o Outcome) {
 	if c.o.table.done(c.cluster.Service, e, o, c.cluster.EjectAfter, time.Now()) {
 		c.o.c.Log.Log(evEjected).Str("endpoint", node).Str("service", c.cluster.Service).Send()
--- a/plugin/outbound/decide_test.go
+++ b/plugin/outbound/decide_test.go
@@ -44,7 +44,7 @@
 		for _, o := range outcomes {
 			now = now.Add(time.Duration(o) * time.Millisecond)
 			s.update(endpoints(n, nil), now)
-			e := s.pick(now, 0, nil, r.IntN)
+			e := s.pick(now, 0, nil, spillUsual, r.IntN)
 			if e == nil {
 				return false
 			}
@@ -79,7 +79,7 @@
 	}
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
-		if got := s.pick(start, 0, nil, r.IntN); got == e {
+		if got := s.pick(start, 0, nil, spillUsual, r.IntN); got == e {
 			t.Fatal("the ejected endpoint was picked")
 		}
 	}
@@ -91,7 +91,7 @@
 	r := rand.New(rand.NewPCG(1, 1))
 	share := func(s *set, want func(e *endpoint) bool) (n int) {
 		for range 1000 {
-			if e := s.pick(start, 0, nil, r.IntN); e != nil && want(e) {
+			if e := s.pick(start, 0, nil, spillUsual, r.IntN); e != nil && want(e) {
 				n++
 			}
 		}
@@ -121,7 +121,7 @@
 	if n := share(s, func(e *endpoint) bool { return e.Node == "n0" }); n != 1000 {
 		t.Fatalf("%d of 1000 calls go to the only ready endpoint", n)
 	}
-	if e := s.pick(start, 0, s.list[:1], r.IntN); e != s.list[3] {
+	if e := s.pick(start, 0, s.list[:1], spillUsual, r.IntN); e != s.list[3] {
 		t.Fatalf("without it %v was picked, want the stale one", e)
 	}
 }
@@ -148,7 +148,7 @@
 	got := 0
 	for range 100 { // ten calls in flight at a time
 		for range 10 {
-			s.pick(start, 10*time.Second, nil, r.IntN).inflight++
+			s.pick(start, 10*time.Second, nil, spillUsual, r.IntN).inflight++
 		}
 		got += cold.inflight
 		s.list[0].inflight, cold.inflight = 0, 0
--- a/plugin/outbound/setup.go
+++ b/plugin/outbound/setup.go
@@ -18,7 +18,7 @@
 				Workers: 256, Queue: 256,
 				ClientIdle: settings.Duration(30 * time.Second), CallerIdle: settings.Duration(2 * time.Minute),
 				DialTimeout: settings.Duration(time.Second), SilenceTimeout: settings.Duration(10 * time.Second), MaxIdle: 16,
-				RetryAllowance: budgetLeast, RetryWindow: settings.Duration(budgetWindow),
+				WaitShare: 0.5, RetryAllowance: budgetLeast, RetryWindow: settings.Duration(budgetWindow),
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newOutbound(c), nil },
@@ -47,6 +47,9 @@
 	// Service is the service of the upstream beside the node. Upstreams are told
 	// that calls come from it.
 	Service string `json:"service"`
+	// WaitShare is the part of a route's target that a call may spend in the queues
+	// of endpoints.
+	WaitShare float64 `json:"wait_share"`
 	// BufferBytes is the length up to which an answer is read as a whole before any
 	// of it is passed on, so that a cut one can be replaced; 0 passes on at once.
 	BufferBytes int `json:"buffer_bytes"`
@@ -78,6 +81,8 @@
 		return settings.Invalid("dial_timeout", "must be positive")
 	case s.SilenceTimeout <= 0:
 		return settings.Invalid("silence_timeout", "must be positive")
+	case s.WaitShare < 0 || s.WaitShare > 10:
+		return settings.Invalid("wait_share", "%v is outside 0..10", s.WaitShare)
 	case s.BufferBytes < 0 || s.BufferBytes > maxBuffer:
 		return settings.Invalid("buffer_bytes", "%d is outside 0..%d", s.BufferBytes, maxBuffer)
 	case s.RetryRatio < 0 || s.RetryRatio > 1 || s.RetryAllowance < 0 || s.RetryWindow.D() < time.Second:
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -94,11 +94,11 @@
 
 // pick chooses an endpoint and counts the attempt as in flight. The target is a
 // copy, since the record of the endpoint may change at any time.
-func (t *table) pick(c *resource.Cluster, tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
+func (t *table) pick(c *resource.Cluster, tried []*endpoint, spillAt float64, now time.Time) (*endpoint, httpcall.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.set(c.Service, now)
-	return t.chosen(s.pick(now, time.Duration(c.SlowStartMillis)*time.Millisecond, tried, t.rng.IntN))
+	return t.chosen(s.pick(now, time.Duration(c.SlowStartMillis)*time.Millisecond, tried, spillAt, t.rng.IntN))
 }
 
 // named counts an attempt at a given endpoint as in flight.
