--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -164,6 +164,7 @@
 	if reason == httpcall.ReasonLeaving || !c.body.Whole() {
 		h.Set("Connection", "close")
 	}
+	h["Date"] = nil
 	c.setLoad(h)
 	c.s.Reject(c.w, reason)
 }
@@ -274,6 +275,7 @@
 	h := c.w.Header()
 	httpcall.Forward(h, x.Response.Header)
 	httpcall.SetLength(h, x.Response)
+	h["Date"] = nil // nodes have no use for it
 	c.setLoad(h)
 	if x.Early {
 		h.Set("Connection", "close")
--- a/plugin/outbound/answer.go
+++ b/plugin/outbound/answer.go
@@ -91,8 +91,6 @@
 	retryShare = 0.3
 	// retryLeast gives a full queue time to move on.
 	retryLeast = 50 * time.Millisecond
-	// retryTarget is the part of the route's target that is waited at most.
-	retryTarget = 0.5
 	// retryUnknown is used for calls without a route.
 	retryUnknown = 200 * time.Millisecond
 )
@@ -102,11 +100,7 @@
 	if c.route == nil {
 		return retryUnknown
 	}
-	d := time.Duration(retryShare * float64(time.Until(c.deadline)))
-	if t := c.route.Target(); t > 0 {
-		d = min(d, time.Duration(retryTarget*float64(t)))
-	}
-	return max(d, retryLeast)
+	return max(time.Duration(retryShare*float64(time.Until(c.deadline))), retryLeast)
 }
 
 // logRefusal writes the refusal with the inputs that decided it, and counts it.
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -30,6 +30,10 @@
 	wholeSet = 8
 	// busyLoad is the load assumed of an endpoint that has just rejected a call.
 	busyLoad = 2
+	// fullLocal and fullRemote are the pauses after a rejection for lack of room, in
+	// the own zone and in others, where each offer costs bytes between zones.
+	fullLocal  = 25 * time.Millisecond
+	fullRemote = 250 * time.Millisecond
 	// An ejection lasts ejectBase, doubled with each one in a row up to ejectMost.
 	ejectBase = time.Second
 	ejectMost = 30 * time.Second
@@ -74,8 +78,49 @@
 	ejections int
 	ejected   time.Time // until when
 	leaving   time.Time // until when
+	// full tells for each organisation, whose queues are apart, until when calls of a
+	// priority, and less urgent ones, would be rejected for lack of room.
+	full map[string]*[priorities]time.Time
 }
 
+// priorities is the number of priorities that are told apart.
+const priorities = 4
+
+// isFull reports whether a call of the priority would find no room.
+func (e *endpoint) isFull(organisation string, priority int, now time.Time) bool {
+	full := e.full[organisation]
+	if full == nil {
+		return false
+	}
+	for p := 0; p <= min(priority, priorities-1); p++ {
+		if now.Before(full[p]) {
+			return true
+		}
+	}
+	return false
+}
+
+// rejected notes that a call found no room. An endpoint of the own zone is asked
+// again soon, since asking costs little there.
+func (e *endpoint) rejected(organisation string, priority int, zone string, now time.Time) {
+	pause := fullRemote
+	if e.AvailabilityZone == zone {
+		pause = fullLocal
+	}
+	full := e.full[organisation]
+	if full == nil {
+		if len(e.full) >= maxOrganisations || e.full == nil {
+			e.full = map[string]*[priorities]time.Time{}
+		}
+		full = &[priorities]time.Time{}
+		e.full[organisation] = full
+	}
+	full[min(max(priority, 0), priorities-1)] = now.Add(pause)
+}
+
+// maxOrganisations bounds the table of rejections; it is cleared above that.
+const maxOrganisations = 64
+
 // set balances over the endpoints of one service. It is not safe for concurrent use.
 type set struct {
 	zone   string
@@ -140,14 +185,27 @@
 	return now.Before(e.ejected) || now.Before(e.leaving)
 }
 
-// pick chooses a ready endpoint that is not in tried: fresh ones, then stale
-// ones, then those that are avoided. It returns nil when none is left. spillAt is the score
-// from which calls leave the zone; intn returns a random number below its argument.
-func (s *set) pick(now time.Time, slow time.Duration, tried []*endpoint, spillAt float64, intn func(int) int) *endpoint {
+// wish is what a call asks of the choice of its endpoint.
+type wish struct {
+	organisation string
+	priority     int
+	// tried lists endpoints that are not to be taken again.
+	tried []*endpoint
+	// spillAt is the score from which the call leaves the zone.
+	spillAt float64
+	// slow is the slow start of the cluster.
+	slow time.Duration
+}
+
+// pick chooses a ready endpoint with room that was not tried: fresh ones, then
+// stale ones, then those that are avoided. It returns nil when none is left. intn
+// returns a random number below its argument.
+func (s *set) pick(now time.Time, w wish, intn func(int) int) *endpoint {
 	for _, tier := range [...]struct{ stale, avoided bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
 		s.local, s.remote = s.local[:0], s.remote[:0]
 		for _, e := range s.list {
-			if e.State != resource.StateReady || e.Stale != tier.stale || e.avoided(now) != tier.avoided || contains(tried, e) {
+			if e.State != resource.StateReady || e.Stale != tier.stale || e.avoided(now) != tier.avoided ||
+				e.isFull(w.organisation, w.priority, now) || contains(w.tried, e) {
 				continue
 			}
 			if e.AvailabilityZone == s.zone {
@@ -156,7 +214,7 @@
 				s.remote = append(s.remote, e)
 			}
 		}
-		if e := s.zoned(now, slow, spillAt, intn); e != nil {
+		if e := s.zoned(now, w.slow, w.spillAt, intn); e != nil {
 			return e
 		}
 	}
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -45,7 +45,7 @@
 	tried [8]*endpoint
 }
 
-var errNoEndpoint = errors.New("the service has no endpoint that can take the call")
+var errNoEndpoint = errors.New("no endpoint of the service can take the call or has room for it")
 
 // run dispatches the call until it is answered. It runs on a worker.
 func (c *call) run() {
@@ -77,9 +77,17 @@
 	c.fail(last)
 }
 
-// patience is how long the call may still wait for a slot. A call that waits for
-// longer misses its target and holds up those that could still meet theirs.
+// urgentShare is the part of the remaining time that an urgent call may wait.
+const urgentShare = 0.5
+
+// patience is how long the call may still wait for a slot. One of the least urgent
+// that waits for longer misses its target and holds up those that could still meet
+// theirs. A more urgent one passes them in the queue and may wait: what depends on
+// it, such as a request that makes the call, would fail with it.
 func (c *call) patience() time.Duration {
+	if !c.o.table.leastUrgent(c.cluster, c.route.Priority) {
+		return max(time.Duration(urgentShare*float64(time.Until(c.deadline))), 0)
+	}
 	return max(time.Duration(c.o.s.WaitShare*float64(c.route.Target()))-time.Since(c.begin), 0)
 }
 
@@ -117,7 +125,9 @@
 // choose returns the endpoint of the next attempt, or nil.
 func (c *call) choose(tried []*endpoint) (*endpoint, httpcall.Target) {
 	if c.key == "" {
-		return c.o.table.pick(c.cluster, tried, c.o.classes.spillAt(c.route.Name), time.Now())
+		return c.o.table.pick(c.cluster, wish{
+			organisation: c.route.Organisation, priority: c.route.Priority, tried: tried, spillAt: c.o.classes.spillAt(c.route.Name),
+		}, time.Now())
 	}
 	id := httpcall.ClaimID(c.route.Organisation, c.cluster.Service, c.key)
 	primary, backup := httpcall.Holders(c.endpoints(), id)
@@ -164,6 +174,9 @@
 		c.settle(e, to.Node, outcome(f))
 		if f.Kind == httpcall.KindRejected {
 			c.o.rejected(f.Reason)
+			if f.Reason == httpcall.ReasonWait || f.Reason == httpcall.ReasonFull {
+				c.o.table.full(e, c.route.Organisation, c.route.Priority, time.Now())
+			}
 		}
 		return f
 	}
--- a/plugin/outbound/decide_test.go
+++ b/plugin/outbound/decide_test.go
@@ -44,7 +44,7 @@
 		for _, o := range outcomes {
 			now = now.Add(time.Duration(o) * time.Millisecond)
 			s.update(endpoints(n, nil), now)
-			e := s.pick(now, 0, nil, spillUsual, r.IntN)
+			e := s.pick(now, wish{spillAt: spillUsual}, r.IntN)
 			if e == nil {
 				return false
 			}
@@ -79,7 +79,7 @@
 	}
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
-		if got := s.pick(start, 0, nil, spillUsual, r.IntN); got == e {
+		if got := s.pick(start, wish{spillAt: spillUsual}, r.IntN); got == e {
 			t.Fatal("the ejected endpoint was picked")
 		}
 	}
@@ -91,7 +91,7 @@
 	r := rand.New(rand.NewPCG(1, 1))
 	share := func(s *set, want func(e *endpoint) bool) (n int) {
 		for range 1000 {
-			if e := s.pick(start, 0, nil, spillUsual, r.IntN); e != nil && want(e) {
+			if e := s.pick(start, wish{spillAt: spillUsual}, r.IntN); e != nil && want(e) {
 				n++
 			}
 		}
@@ -121,7 +121,7 @@
 	if n := share(s, func(e *endpoint) bool { return e.Node == "n0" }); n != 1000 {
 		t.Fatalf("%d of 1000 calls go to the only ready endpoint", n)
 	}
-	if e := s.pick(start, 0, s.list[:1], spillUsual, r.IntN); e != s.list[3] {
+	if e := s.pick(start, wish{tried: s.list[:1], spillAt: spillUsual}, r.IntN); e != s.list[3] {
 		t.Fatalf("without it %v was picked, want the stale one", e)
 	}
 }
@@ -148,7 +148,7 @@
 	got := 0
 	for range 100 { // ten calls in flight at a time
 		for range 10 {
-			s.pick(start, 10*time.Second, nil, spillUsual, r.IntN).inflight++
+			s.pick(start, wish{spillAt: spillUsual, slow: 10 * time.Second}, r.IntN).inflight++
 		}
 		got += cold.inflight
 		s.list[0].inflight, cold.inflight = 0, 0
@@ -269,3 +269,26 @@
 		}
 	}
 }
+
+// Guards against offers to endpoints that have just rejected a call for lack of
+// room, and against urgent calls that are kept away by rejections of less urgent ones.
+func TestFullEndpointsAreNotOffered(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	s := &set{zone: "z1"}
+	s.update(endpoints(2, func(i int, e *resource.Endpoint) { e.AvailabilityZone = []string{"z1", "z2"}[i] }), start)
+	for _, e := range s.list {
+		e.rejected("", 2, s.zone, start)
+	}
+	if e := s.pick(start, wish{priority: 2, spillAt: spillUsual}, r.IntN); e != nil {
+		t.Fatalf("%s was picked although it is full", e.Node)
+	}
+	if e := s.pick(start, wish{priority: 1, spillAt: spillUsual}, r.IntN); e == nil {
+		t.Fatal("a more urgent call found no endpoint")
+	}
+	if e := s.pick(start, wish{organisation: "other", priority: 2, spillAt: spillUsual}, r.IntN); e == nil {
+		t.Fatal("a call of another organisation found no endpoint")
+	}
+	if e := s.pick(start.Add(fullLocal), wish{priority: 2, spillAt: spillUsual}, r.IntN); e != s.list[0] {
+		t.Fatalf("after the local pause %v was picked", e)
+	}
+}
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -28,6 +28,10 @@
 	budgets map[string]*budget
 	// splits holds the state of the routes that divide their requests.
 	splits map[string]*split
+	// routes is the table that ranks was worked out from.
+	routes *resource.RouteTable
+	// ranks holds the priority of the least urgent route of each service.
+	ranks map[string]int
 	// nodes is the number of nodes in the fleet as far as known.
 	nodes int
 	// allowance is that of the whole fleet; a Ratio of 0 leaves it to the cluster.
@@ -94,11 +98,25 @@
 
 // pick chooses an endpoint and counts the attempt as in flight. The target is a
 // copy, since the record of the endpoint may change at any time.
-func (t *table) pick(c *resource.Cluster, tried []*endpoint, spillAt float64, now time.Time) (*endpoint, httpcall.Target) {
+func (t *table) pick(c *resource.Cluster, w wish, now time.Time) (*endpoint, httpcall.Target) {
+	w.slow = time.Duration(c.SlowStartMillis) * time.Millisecond
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.set(c.Service, now)
-	return t.chosen(s.pick(now, time.Duration(c.SlowStartMillis)*time.Millisecond, tried, spillAt, t.rng.IntN))
+	return t.chosen(t.set(c.Service, now).pick(now, w, t.rng.IntN))
+}
+
+// full notes that a call of the priority found no room at an endpoint.
+func (t *table) full(e *endpoint, organisation string, priority int, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.rejected(organisation, priority, t.zone, now)
+}
+
+// leastUrgent reports whether no route of the cluster's service has a lower rank.
+func (t *table) leastUrgent(c *resource.Cluster, priority int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return priority >= t.ranks[c.Service]
 }
 
 // named counts an attempt at a given endpoint as in flight.
@@ -171,6 +189,9 @@
 	for _, set := range s.Sets {
 		t.nodes += len(set.Endpoints)
 	}
+	if s.Table != t.routes {
+		t.routes, t.ranks = s.Table, ranksOf(s)
+	}
 	for name := range t.splits {
 		if r := s.Routes[name]; r == nil || len(r.Split) == 0 {
 			delete(t.splits, name)
@@ -182,3 +203,20 @@
 		}
 	}
 }
+
+// ranksOf returns the priority of the least urgent route of each service.
+func ranksOf(s *resource.Snapshot) map[string]int {
+	ranks := map[string]int{}
+	note := func(cluster string, priority int) {
+		if c := s.Clusters[cluster]; c != nil {
+			ranks[c.Service] = max(ranks[c.Service], priority)
+		}
+	}
+	for _, r := range s.Routes {
+		note(r.Cluster, r.Priority)
+		for _, p := range r.Split {
+			note(p.Cluster, r.Priority)
+		}
+	}
+	return ranks
+}
