--- a/plugin/inbound/admission.go
+++ b/plugin/inbound/admission.go
@@ -31,24 +31,6 @@
 // errEvicted is given to a waiting call that made room for a more urgent one.
 var errEvicted = errors.New("a more urgent call took the place in the queue")
 
-// maxClasses bounds the tables of classes.
-const maxClasses = 256
-
-const (
-	// reserveSlots is kept free of long jobs while shorter, more urgent ones arrive.
-	reserveSlots = 1
-	// reserveRatio is how many times longer a job must be to leave the reserve.
-	reserveRatio = 2
-	// urgentFor is how long a class counts as arriving after its last job.
-	urgentFor = time.Second
-)
-
-// urgent is the last arrival of a class of jobs.
-type urgent struct {
-	priority int
-	seen     time.Time
-}
-
 // share is one organisation's part of the slots.
 type share struct {
 	name    string
@@ -68,6 +50,7 @@
 	at    time.Time
 	// cost is the expected duration, charged what the share has paid for it.
 	cost, charged time.Duration
+	class         string
 }
 
 // Admission is the queue discipline of the slots of an upstream: a short queue
@@ -83,10 +66,7 @@
 	next         int
 	running      map[*pool.Job]started
 	queued       int
-	// costs holds the smoothed duration of the jobs of each class.
-	costs map[string]time.Duration
-	// urgent tells when a job of each class was seen last.
-	urgent map[string]urgent
+	classes      map[string]*class
 	// evicted jobs are dropped with the next Pop.
 	evicted []*pool.Job
 }
@@ -94,7 +74,7 @@
 // newAdmission returns the discipline for a number of slots; limit bounds the
 // queue of one organisation. least estimates the shortest useful run of a call.
 func newAdmission(slots, limit int, least *estimate) *Admission {
-	return &Admission{slots: slots, limit: limit, least: least, running: map[*pool.Job]started{}, costs: map[string]time.Duration{}, urgent: map[string]urgent{}}
+	return &Admission{slots: slots, limit: limit, least: least, running: map[*pool.Job]started{}, classes: map[string]*class{}}
 }
 
 // Push implements pool.Queue.
@@ -104,9 +84,6 @@
 		return pool.ErrFull
 	}
 	s.seen = now
-	if j.Class != "" && len(a.urgent) < maxClasses {
-		a.urgent[j.Class] = urgent{j.Priority, now}
-	}
 	wait := a.wait(s, j, now)
 	if !j.Deadline.IsZero() && !now.Add(a.least.at(now)+wait).Before(j.Deadline) {
 		return errHopeless
@@ -162,25 +139,6 @@
 	return max(free, 0)
 }
 
-// cost returns the expected duration of a job.
-func (a *Admission) cost(s *share, class string) time.Duration {
-	if c, ok := a.costs[class]; ok {
-		return c
-	}
-	return s.cost
-}
-
-// learn takes the duration of a job of a class.
-func (a *Admission) learn(class string, took time.Duration) {
-	old, known := a.costs[class]
-	switch {
-	case known:
-		a.costs[class] = old + (took-old)/8
-	case class != "" && len(a.costs) < maxClasses:
-		a.costs[class] = took
-	}
-}
-
 // share finds or adds the share of an organisation; nil when there are too many.
 func (a *Admission) share(name string, now time.Time) *share {
 	for _, s := range a.shares {
@@ -231,7 +189,7 @@
 	if free <= 0 {
 		return false
 	}
-	if a.reserved(s, now) && free <= reserveSlots && a.slots > 2*reserveSlots {
+	if a.reserved(s, now) {
 		return false
 	}
 	fair := a.fair(now)
@@ -248,21 +206,6 @@
 	return free > min(kept, a.slots/2)
 }
 
-// reserved reports whether the next job of a share must leave room for more urgent
-// ones that are much shorter: they would otherwise wait for the end of a long job.
-func (a *Admission) reserved(s *share, now time.Time) bool {
-	if len(s.queue) == 0 || s.queue[0].Class == "" {
-		return false
-	}
-	next := s.queue[0]
-	for class, u := range a.urgent {
-		if u.priority < next.Priority && now.Sub(u.seen) < urgentFor && reserveRatio*a.cost(s, class) < a.cost(s, next.Class) {
-			return true
-		}
-	}
-	return false
-}
-
 // Pop implements pool.Queue.
 func (a *Admission) Pop(now time.Time) (*pool.Job, []*pool.Job) {
 	dropped := append(a.evicted, a.dropLate(now)...)
@@ -274,7 +217,7 @@
 	j := a.shift(s, 0)
 	s.credit -= s.cost
 	s.running++
-	a.running[j] = started{share: s, at: now, cost: a.cost(s, j.Class), charged: s.cost}
+	a.running[j] = started{share: s, at: now, cost: a.cost(s, j.Class), charged: s.cost, class: j.Class}
 	if len(s.queue) == 0 {
 		// Credit is not saved up while there is nothing to run.
 		s.credit = min(s.credit, 0)
@@ -337,7 +280,7 @@
 	took := max(now.Sub(r.at), leastCost)
 	r.share.running--
 	r.share.credit += r.charged - took
-	a.learn(j.Class, took)
+	a.learn(j, took, now)
 	r.share.cost = max(leastCost, r.share.cost+(took-r.share.cost)/8)
 }
 
