--- a/core/change/change.go
+++ b/core/change/change.go
@@ -182,8 +182,10 @@
 // checkConfiguration checks what a change of the whole configuration carries
 // beside its body, which states its own base.
 func (c *Change) checkConfiguration() error {
-	if c.Action != ActionPut || c.ExpectedRevision != 0 || len(c.Body) == 0 {
-		return invalid("action", "a configuration is put with a body and without a revision")
+	put := c.Action == ActionPut && c.ExpectedRevision == 0
+	revise := c.Action == ActionRevise && c.ExpectedRevision != 0
+	if !put && !revise || len(c.Body) == 0 {
+		return invalid("action", "a configuration is put as a whole, or revised by a patch of an earlier one")
 	}
 	return nil
 }
--- a/plugin/catalog/configuration.go
+++ b/plugin/catalog/configuration.go
@@ -1,11 +1,15 @@
 package catalog
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 
 	"github.com/celeryyard/celeryyard/core/change"
 	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/core/verdict"
 )
 
 // configurationEntry is the whole configuration that was accepted last. It is
@@ -16,27 +20,61 @@
 	// Version is the version that it made.
 	Version resource.Version `json:"version"`
 	Body    jsontext.Value   `json:"body"`
+
+	config *resource.Configuration
 }
 
 // decideConfiguration accepts a whole configuration that was derived from the one
 // in force, or refuses it. Of two that build on the same one, the first in the log
 // is accepted.
 func (s *state) decideConfiguration(c *change.Change) change.Outcome {
-	next, err := resource.DecodeConfiguration(c.Body)
+	next, r := s.nextConfiguration(c)
+	if r != nil {
+		return s.refuse(c, r)
+	}
+	body, err := json.Marshal(next, json.Deterministic(true))
 	if err != nil {
 		return s.refuse(c, refusal(change.ReasonMalformed, "%v", err))
 	}
-	current := s.configurationNumber()
-	if next.Base != current {
-		return s.refuse(c, refusal(change.ReasonRevision, "configuration %d is in force, not %d", current, next.Base))
-	}
 	s.version++
 	touched := s.commitTeam(resource.ConfigurationTeam, newConfigurationTeam(next))
-	s.configuration = &configurationEntry{Number: next.Number, Version: s.version, Body: c.Body}
+	s.configuration = &configurationEntry{Number: next.Number, Version: s.version, Body: body, config: next}
 	s.history.add(s.version, touched)
 	return change.Outcome{ID: c.ID, State: change.StateAccepted, Version: s.version, Revision: next.Number}
 }
 
+// nextConfiguration works out the configuration that a change asks for: the whole
+// of it, or a patch of the one in force.
+func (s *state) nextConfiguration(c *change.Change) (*resource.Configuration, *change.Refusal) {
+	current := s.configurationNumber()
+	if c.Action == change.ActionPut {
+		next, err := resource.DecodeConfiguration(c.Body)
+		if err != nil {
+			return nil, refusal(change.ReasonMalformed, "%v", err)
+		}
+		if next.Base != current {
+			return nil, superseded(current, next.Base)
+		}
+		return next, nil
+	}
+	p, err := resource.DecodePatch(c.Body)
+	if err != nil {
+		return nil, refusal(change.ReasonMalformed, "%v", err)
+	}
+	if p.Base != current || s.configuration == nil {
+		return nil, superseded(current, p.Base)
+	}
+	next, err := p.Apply(s.configuration.config)
+	if err != nil {
+		return nil, refusal(change.ReasonMalformed, "%v", err)
+	}
+	return next, nil
+}
+
+func superseded(current, base uint64) *change.Refusal {
+	return refusal(change.ReasonRevision, "configuration %d is in force, not %d", current, base)
+}
+
 func newConfigurationTeam(c *resource.Configuration) *teamEntry {
 	team := &resource.Team{Name: resource.ConfigurationTeam, Organisation: resource.ConfigurationTeam}
 	return &teamEntry{Team: team, out: c.Expand()}
@@ -70,17 +108,40 @@
 	version := s.version
 	s.version = e.Version
 	s.commitTeam(resource.ConfigurationTeam, newConfigurationTeam(c))
+	e.config = c
 	s.version, s.configuration = version, e
 	return nil
 }
 
-// Configuration returns the body of the whole configuration that is in force and
-// its number; 0 before the first one. The body must not be changed.
-func (t *Catalog) Configuration() (number uint64, body []byte) {
+// Configuration returns the whole configuration that is in force, which must not be
+// changed; nil before the first one.
+func (t *Catalog) Configuration() *resource.Configuration {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	if t.s.configuration == nil {
-		return 0, nil
+		return nil
+	}
+	return t.s.configuration.config
+}
+
+// SubmitConfiguration proposes a whole configuration on behalf of an operator. id
+// must follow from its content, so that a resend finds the first answer. When it
+// builds on the configuration in force here, only the difference is replicated.
+// done is called as by Submit.
+func (t *Catalog) SubmitConfiguration(id, operator string, next *resource.Configuration, timeout time.Duration, done func(change.Outcome, error)) {
+	c := &change.Change{
+		ID: id, Operator: operator, Organisation: operator, Kind: change.KindConfiguration, Action: change.ActionPut, Name: "configuration",
+	}
+	var err error
+	if base := t.Configuration(); base != nil && base.Number == next.Base {
+		c.Action, c.ExpectedRevision = change.ActionRevise, base.Number
+		c.Body, err = json.Marshal(resource.PatchOf(base, next))
+	} else {
+		c.Body, err = json.Marshal(next)
+	}
+	if err != nil {
+		done(change.Outcome{}, verdict.Wrap(verdict.NotRun, err))
+		return
 	}
-	return t.s.configuration.Number, t.s.configuration.Body
+	t.Submit(c, timeout, done)
 }
--- a/plugin/catalog/state.go
+++ b/plugin/catalog/state.go
@@ -69,7 +69,9 @@
 	}
 	digest := c.Digest()
 	old, known := s.records.find(c.ID)
-	if known && old.Digest == digest {
+	// The ID of a configuration follows from its content, which a resend may give as
+	// a patch or in full.
+	if known && (old.Digest == digest || c.Kind == change.KindConfiguration && old.Kind == change.KindConfiguration) {
 		return old.Outcome
 	}
 	var out change.Outcome
