outbound: endpoints are chosen by expected duration

The speed now counts for most up to a load of 0.6, the load is smoothed, sets up to 24 are compared as a whole, and one call in 50 explores.

--- a/plugin/announce/report_test.go
+++ b/plugin/announce/report_test.go
@@ -9,7 +9,9 @@
 // replaced, and against new starts that are taken for late reports.
 func TestOrderOfReports(t *testing.T) {
 	now := time.Unix(1e9, 0)
-	ready := func(id string, born int64, seq uint64) Report { return Report{ID: id, Born: born, Sequence: seq, Service: "s", Slots: 9} }
+	ready := func(id string, born int64, seq uint64) Report {
+		return Report{ID: id, Born: born, Sequence: seq, Service: "s", Slots: 9}
+	}
 	draining := func(id string, born int64, seq uint64) Report {
 		r := ready(id, born, seq)
 		r.Draining = true
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -8,9 +8,6 @@
 
 // Constants of the choice of an endpoint.
 const (
-	// loadWeight is the share of the load reported by an endpoint in its score. It
-	// is below 1 because reports may be late or wrong; own counts come first.
-	loadWeight = 0.5
 	// loadTrust is the age at which a reported load is no longer used.
 	loadTrust = 2 * time.Second
 	// An endpoint of another zone is taken only when the own zone's is busier than
@@ -21,13 +18,24 @@
 	// observeWeight is the part of a new observation in the smoothed figures of an
 	// endpoint.
 	observeWeight = 0.1
+	// busyIdle and busyWait are the parts of a call's duration that the load adds
+	// below and above busyFrom. The reported load is that of a moment ago and the
+	// slots are few, so waiting begins well below a load of 1.
+	busyIdle, busyWait = 0.3, 4
+	busyFrom           = 0.6
+	// loadWeight is the part of a newly reported load in the smoothed one: a single
+	// report of nine slots says little.
+	loadWeight = 0.5
+	// exploreShare is the part of the calls that go to an endpoint drawn at random,
+	// so that new ones and those that were slow are tried again.
+	exploreShare = 50
 	// failureWeight multiplies the score of an endpoint that fails every call.
 	failureWeight = 8
 	// slowLeast and slowMost bound the effect of an endpoint's relative duration.
 	slowLeast, slowMost = 0.4, 8
 	// wholeSet is the number of endpoints up to which all are compared; in larger
 	// sets two drawn at random are.
-	wholeSet = 8
+	wholeSet = 24
 	// busyLoad is the load assumed of an endpoint that has just rejected a call.
 	busyLoad = 2
 	// fullLocal and fullRemote are the pauses after a rejection for lack of room, in
@@ -164,20 +172,28 @@
 	return min(1, max(leastWeight, float64(age)/float64(slow)))
 }
 
-// score is the expected time of one more call at the endpoint, relative to that at
-// an idle endpoint of the usual speed. The load that the endpoint last reported
-// includes calls of other nodes; own calls since then are only in the own count.
-func (e *endpoint) score(now time.Time, slow time.Duration) float64 {
+// busy is the load of the endpoint with one more call; 1 means that all slots are
+// in use. The load that it last reported includes calls of other nodes; own calls
+// since then are only in the own count.
+func (e *endpoint) busy(now time.Time) float64 {
 	slots := float64(max(e.Slots, 1))
 	v := float64(e.inflight+1) / slots
 	if now.Sub(e.loadAt) < loadTrust {
 		v = max(v, e.load+1/slots)
 	}
-	v /= e.weight(now, slow)
+	return v
+}
+
+// score is the expected duration of one more call, relative to that at an idle
+// endpoint of the usual speed. Up to busyFrom only the speed counts for much, so
+// that fast endpoints are used first; above it calls begin to wait.
+func (e *endpoint) score(now time.Time, slow time.Duration) float64 {
+	busy := e.busy(now)
+	v := 1 + busyIdle*busy + busyWait*max(busy-busyFrom, 0)
 	if e.slow > 0 {
 		v *= min(max(e.slow, slowLeast), slowMost)
 	}
-	return v*(1+failureWeight*e.failing) + float64(e.failures)
+	return v/e.weight(now, slow)*(1+failureWeight*e.failing) + float64(e.failures)
 }
 
 // avoided reports whether the endpoint is ejected or said that it leaves.
@@ -191,7 +207,7 @@
 	priority     int
 	// tried lists endpoints that are not to be taken again.
 	tried []*endpoint
-	// spillAt is the score from which the call leaves the zone.
+	// spillAt is the load of the own zone from which the call leaves the zone.
 	spillAt float64
 	// slow is the slow start of the cluster.
 	slow time.Duration
@@ -230,7 +246,7 @@
 		}
 		return r
 	}
-	if a, b := l.score(now, slow), r.score(now, slow); a > spillAt && a > zoneFactor*b {
+	if l.busy(now) > spillAt && l.score(now, slow) > zoneFactor*r.score(now, slow) {
 		return r
 	}
 	return l
@@ -243,6 +259,9 @@
 	if len(list) == 0 {
 		return nil
 	}
+	if e := list[intn(len(list))]; e.busy(now) < busyFrom && intn(exploreShare) == 0 {
+		return e
+	}
 	if len(list) > wholeSet {
 		i, j := intn(len(list)), intn(len(list)-1)
 		if j >= i {
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -164,6 +164,9 @@
 func (t *table) loaded(e *endpoint, load float64, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(e.loadAt) < loadTrust {
+		load = e.load + loadWeight*(load-e.load)
+	}
 	e.load, e.loadAt = load, now
 }
 
--- a/plugin/quorum/raft/open_test.go
+++ b/plugin/quorum/raft/open_test.go
@@ -10,10 +10,14 @@
 // Guards against a voter that loses its vote because it is cut off, a lost one that
 // keeps counting for majorities, and a wiped disk that waits for a timeout.
 func TestOpenMembership(t *testing.T) {
-	voter := func(id replog.MemberID, name string) replog.Member { return replog.Member{ID: id, Name: name, Voter: true} }
+	voter := func(id replog.MemberID, name string) replog.Member {
+		return replog.Member{ID: id, Name: name, Voter: true}
+	}
 	learner := func(id replog.MemberID, name string) replog.Member { return replog.Member{ID: id, Name: name} }
 	three := []replog.Member{voter(1, "a"), voter(2, "b"), voter(3, "c")}
-	with := func(m ...replog.Member) replog.Config { return replog.Config{Members: append(append([]replog.Member{}, three...), m...)} }
+	with := func(m ...replog.Member) replog.Config {
+		return replog.Config{Members: append(append([]replog.Member{}, three...), m...)}
+	}
 	alive := MemberProgress{Match: 10, Active: true}
 	silent := func(d time.Duration) MemberProgress { return MemberProgress{Match: 10, Silent: Instant(d)} }
 	for _, tc := range []struct {
