celeryyard trace: what the logs say of one call, in order

Reads log files of several processes, also with a prefix from a collector, and prints the lines of a call and of calls made on its behalf. Log times now have milliseconds; whole seconds could not order the lines of two nodes.

--- a/cmd/celeryyard/main.go
+++ b/cmd/celeryyard/main.go
@@ -27,7 +27,9 @@
 	// options returns a pointer to the options of the command. run is called after
 	// parsing with the same options.
 	options func() any
-	run     func(ctx context.Context, a *app, options any) error
+	// local marks a command that calls no control instance.
+	local bool
+	run   func(ctx context.Context, a *app, options any) error
 }
 
 // commands is written by init functions only.
@@ -93,6 +95,9 @@
 }
 
 func (a *app) run(ctx context.Context, c *command, options any) error {
+	if c.local {
+		return c.run(ctx, a, options)
+	}
 	var err error
 	if a.client, err = newClient(&a.flags); err != nil {
 		return err
--- /dev/null
+++ b/cmd/celeryyard/trace.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"github.com/celeryyard/celeryyard/kernel"
+)
+
+func init() {
+	register(command{
+		path: "trace", short: "Print what the logs of several processes say of one call, in order", local: true,
+		options: func() any { return &traceOptions{} },
+		run: func(_ context.Context, a *app, o any) error {
+			return a.trace(o.(*traceOptions))
+		},
+	})
+}
+
+type traceOptions struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"true" description:"name of the call, as its caller or a log line gives it"`
+		Files []string `positional-arg-name:"FILE" required:"1" description:"log file of one process or of several; - for standard input"`
+	} `positional-args:"true" required:"true"`
+}
+
+// maxLogLine bounds one line of a log; longer ones are counted and left out.
+const maxLogLine = 1 << 20
+
+// traceLine is one log line that names the call.
+type traceLine struct {
+	Time     string `json:"time"`
+	Instance string `json:"instance"`
+	Event    int    `json:"event"`
+	Message  string `json:"message"`
+	ID       string `json:"id"`
+	// Details holds the remaining fields in the order of the line.
+	Details []string `json:"details"`
+
+	order int
+}
+
+// traceView is the outcome of the command.
+type traceView struct {
+	ID    string      `json:"id"`
+	Lines []traceLine `json:"lines"`
+	// Unread counts lines that are no log lines of the product.
+	Unread int `json:"unread_lines"`
+}
+
+func (a *app) trace(o *traceOptions) error {
+	v := &traceView{ID: o.Args.ID, Lines: []traceLine{}}
+	for _, name := range o.Args.Files {
+		if err := v.readFile(name); err != nil {
+			return err
+		}
+	}
+	// Clocks of instances differ a little; lines of one instance keep their order.
+	slices.SortStableFunc(v.Lines, func(x, y traceLine) int {
+		if c := strings.Compare(x.Time, y.Time); c != 0 {
+			return c
+		}
+		return x.order - y.order
+	})
+	if err := a.print(v, nil); err != nil {
+		return err
+	}
+	if len(v.Lines) == 0 {
+		return exitf(kernel.ExitFailure, "no line names the call %q", v.ID)
+	}
+	return nil
+}
+
+func (v *traceView) readFile(name string) error {
+	if name == "-" {
+		return v.read(os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return errors.Wrapf(v.read(f), "%s", name)
+}
+
+// read collects the lines that name the call or a call made on its behalf. Text
+// before the JSON of a line, as log collectors add it, is skipped.
+func (v *traceView) read(r io.Reader) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLogLine)
+	want := []byte(v.ID)
+	for s.Scan() {
+		line := s.Bytes()
+		if !bytes.Contains(line, want) {
+			continue
+		}
+		start := bytes.IndexByte(line, '{')
+		if start < 0 {
+			v.Unread++
+			continue
+		}
+		t, err := parseTraceLine(line[start:])
+		if err != nil {
+			v.Unread++
+			continue
+		}
+		if t.ID == v.ID || strings.HasPrefix(t.ID, v.ID+".") {
+			t.order = len(v.Lines)
+			v.Lines = append(v.Lines, t)
+		}
+	}
+	return s.Err()
+}
+
+func parseTraceLine(line []byte) (traceLine, error) {
+	var t traceLine
+	d := jsontext.NewDecoder(bytes.NewReader(line))
+	if k, err := d.ReadToken(); err != nil || k.Kind() != '{' {
+		return t, errors.New("line is no JSON object")
+	}
+	for d.PeekKind() != '}' {
+		key, err := d.ReadToken()
+		if err != nil {
+			return t, err
+		}
+		name := key.String()
+		value, err := d.ReadValue()
+		if err != nil {
+			return t, err
+		}
+		if err := t.set(name, value); err != nil {
+			return t, err
+		}
+	}
+	return t, nil
+}
+
+func (t *traceLine) set(name string, value jsontext.Value) error {
+	fields := map[string]any{"time": &t.Time, "instance": &t.Instance, "event": &t.Event, "message": &t.Message, "id": &t.ID}
+	if into, ok := fields[name]; ok {
+		return json.Unmarshal(value, into)
+	}
+	if name == "level" || name == "plugin" {
+		return nil
+	}
+	text := string(value)
+	var s string
+	if value.Kind() == '"' && json.Unmarshal(value, &s) == nil {
+		text = s
+	}
+	if text != "" {
+		t.Details = append(t.Details, name+"="+text)
+	}
+	return nil
+}
+
+// columns implements table.
+func (v *traceView) columns(w io.Writer) {
+	fmt.Fprintln(w, "TIME\tINSTANCE\tEVENT\tWHAT\tDETAILS")
+	for _, l := range v.Lines {
+		what := l.Message
+		if l.ID != v.ID {
+			what += " (call " + l.ID + ")"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", l.Time, l.Instance, l.Event, what, strings.Join(l.Details, " "))
+	}
+	if v.Unread > 0 {
+		fmt.Fprintf(w, "%d lines that hold the name could not be read\n", v.Unread)
+	}
+}
--- a/kernel/event/event.go
+++ b/kernel/event/event.go
@@ -54,6 +54,11 @@
 // Logger writes events with the fields of its plug-in and instance.
 type Logger struct{ z zerolog.Logger }
 
+// timeFormat has milliseconds: a call passes several processes within a second.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // NewLogger returns a logger that writes JSON lines to w.
 func NewLogger(w io.Writer, level zerolog.Level) Logger {
 	return Logger{z: zerolog.New(w).Level(level).With().Timestamp().Logger()}
