--- a/kernel/context.go
+++ b/kernel/context.go
@@ -40,6 +40,9 @@
 	// DrainTime is how long a stopping process goes on serving after it has told
 	// others that it leaves; 0 stops at once.
 	DrainTime settings.Duration `json:"drain_time"`
+	// GCPercent is the growth of the heap between two garbage collections; lower
+	// values use less memory and more processor time.
+	GCPercent int `json:"gc_percent"`
 	// Bootstrap allows a control instance with an empty data folder to form a new
 	// group of voters, like the flag --bootstrap.
 	Bootstrap bool `json:"bootstrap"`
@@ -48,7 +51,7 @@
 // DefaultInstance returns the defaults of the section "instance".
 func DefaultInstance() Instance {
 	return Instance{
-		LogLevel: "info", Workers: 4, QueueJobs: 16384,
+		LogLevel: "info", GCPercent: 100, Workers: 4, QueueJobs: 16384,
 		StopTimeout: settings.Duration(30 * time.Second),
 	}
 }
@@ -58,6 +61,8 @@
 	switch {
 	case i.Name == "":
 		return settings.Invalid("name", "must not be empty")
+	case i.GCPercent < 10 || i.GCPercent > 1000:
+		return settings.Invalid("gc_percent", "%d is outside 10..1000", i.GCPercent)
 	case i.Workers < 1 || i.Workers > 1024:
 		return settings.Invalid("workers", "%d is outside 1..1024", i.Workers)
 	case i.QueueJobs < 16 || i.QueueJobs > 1<<20:
--- a/kernel/program.go
+++ b/kernel/program.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -96,6 +97,7 @@
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
 		return ExitUsage
 	}
+	debug.SetGCPercent(k.instance.GCPercent)
 	countLogs(k, logs)
 	if err := runGroup(k); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
--- a/plugin/announce/leave.go
+++ b/plugin/announce/leave.go
@@ -41,7 +41,7 @@
 	l := &leave{done: []func(){done}}
 	a.leave = l
 	a.probing++ // ends the probes
-	known := a.record.desired.Node != ""
+	known := a.record.desired.Node != "" && a.record.desired.State != resource.StateGone
 	a.mu.Unlock()
 	a.c.Log.Log(evLeaving).Send()
 	if !known {
