--- a/plugin/outbound/budget.go
+++ b/plugin/outbound/budget.go
@@ -9,7 +9,7 @@
 // budgetMargin is the part of the permitted retries that is used. The rest covers
 // nodes whose view of the fleet's size differs, and the calls that an upstream
 // makes while it runs a retry, which count as retries at the services it calls.
-const budgetMargin = 0.7
+const budgetMargin = 0.8
 
 // Allowance bounds the retries of one cluster over a sliding window.
 type Allowance struct {
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -89,7 +89,7 @@
 	}
 	if o.s.RetryRatio > 0 {
 		o.table.shared = true
-		o.table.allowance = Allowance{Ratio: o.s.RetryRatio, Least: float64(o.s.RetryAllowance), Window: o.s.RetryWindow.D()}
+		o.table.allowance = Allowance{Ratio: o.s.RetryRatio, Least: o.s.RetryAllowance, Window: o.s.RetryWindow.D()}
 	}
 	o.byOrganisation.Store(&map[string]*callMetrics{})
 	o.view.Watch(o.changed)
--- a/plugin/outbound/setup.go
+++ b/plugin/outbound/setup.go
@@ -57,7 +57,7 @@
 	// service in each RetryWindow: RetryRatio for each call, and RetryAllowance
 	// besides. A ratio of 0 leaves it to the cluster's percentage, for each node.
 	RetryRatio     float64           `json:"retry_ratio"`
-	RetryAllowance int               `json:"retry_allowance"`
+	RetryAllowance float64           `json:"retry_allowance"`
 	RetryWindow    settings.Duration `json:"retry_window"`
 	// MaxIdle bounds the idle connections to one endpoint.
 	MaxIdle int `json:"max_idle"`
