--- a/plugin/catalog/configuration.go
+++ b/plugin/catalog/configuration.go
@@ -5,7 +5,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
-	"github.com/go-json-experiment/json/jsontext"
 
 	"github.com/celeryyard/celeryyard/core/change"
 	"github.com/celeryyard/celeryyard/core/resource"
@@ -15,13 +14,15 @@
 // configurationEntry is the whole configuration that was accepted last. It is
 // immutable.
 type configurationEntry struct {
-	// Number is the operators' number of it.
-	Number uint64 `json:"number"`
-	// Version is the version that it made.
-	Version resource.Version `json:"version"`
-	Body    jsontext.Value   `json:"body"`
+	// version is the version that it made.
+	version resource.Version
+	config  *resource.Configuration
+}
 
-	config *resource.Configuration
+// configurationForm is its encoding.
+type configurationForm struct {
+	Version resource.Version        `json:"version"`
+	Config  *resource.Configuration `json:"config"`
 }
 
 // decideConfiguration accepts a whole configuration that was derived from the one
@@ -32,13 +33,9 @@
 	if r != nil {
 		return s.refuse(c, r)
 	}
-	body, err := json.Marshal(next, json.Deterministic(true))
-	if err != nil {
-		return s.refuse(c, refusal(change.ReasonMalformed, "%v", err))
-	}
 	s.version++
 	touched := s.commitTeam(resource.ConfigurationTeam, newConfigurationTeam(next))
-	s.configuration = &configurationEntry{Number: next.Number, Version: s.version, Body: body, config: next}
+	s.configuration = &configurationEntry{version: s.version, config: next}
 	s.history.add(s.version, touched)
 	return change.Outcome{ID: c.ID, State: change.StateAccepted, Version: s.version, Revision: next.Number}
 }
@@ -86,7 +83,7 @@
 	if s.configuration == nil {
 		return 0
 	}
-	return s.configuration.Number
+	return s.configuration.config.Number
 }
 
 // loadConfiguration restores the configuration and its resources.
@@ -95,21 +92,19 @@
 	if e == nil {
 		return nil
 	}
-	c, err := resource.DecodeConfiguration(e.Body)
-	if err != nil {
-		return errors.Wrap(err, "configuration")
+	if e.Config == nil {
+		return errors.New("configuration is missing")
 	}
-	if c.Number != e.Number {
-		return errors.Newf("configuration has number %d instead of %d", c.Number, e.Number)
+	if err := e.Config.Validate(); err != nil {
+		return errors.Wrap(err, "configuration")
 	}
 	if err := s.checkVersion("configuration", resource.ConfigurationTeam, uint64(e.Version)); err != nil {
 		return err
 	}
 	version := s.version
 	s.version = e.Version
-	s.commitTeam(resource.ConfigurationTeam, newConfigurationTeam(c))
-	e.config = c
-	s.version, s.configuration = version, e
+	s.commitTeam(resource.ConfigurationTeam, newConfigurationTeam(e.Config))
+	s.version, s.configuration = version, &configurationEntry{version: e.Version, config: e.Config}
 	return nil
 }
 
--- a/plugin/catalog/encode.go
+++ b/plugin/catalog/encode.go
@@ -42,16 +42,19 @@
 	Teams     []*teamEntry         `json:"teams"`
 	Resources []*resource.Resource `json:"resources"`
 	// Configuration stands for the resources that follow from it.
-	Configuration *configurationEntry `json:"configuration,omitempty"`
-	Steps         []step              `json:"steps"`
-	Last          uint64              `json:"last"`
-	Records       []change.Record     `json:"records"`
+	Configuration *configurationForm `json:"configuration,omitempty"`
+	Steps         []step             `json:"steps"`
+	Last          uint64             `json:"last"`
+	Records       []change.Record    `json:"records"`
 }
 
 // encode returns the whole state. Equal states have equal encodings.
 func (s *state) encode() ([]byte, error) {
 	f := snapshotForm{
-		Format: snapshotFormat, Version: s.version, Configuration: s.configuration, Steps: s.history.steps, Last: s.records.last, Records: s.records.list,
+		Format: snapshotFormat, Version: s.version, Steps: s.history.steps, Last: s.records.last, Records: s.records.list,
+	}
+	if c := s.configuration; c != nil {
+		f.Configuration = &configurationForm{Version: c.version, Config: c.config}
 	}
 	for _, name := range sortedNames(s.templates) {
 		f.Templates = append(f.Templates, s.templates[name])
