--- a/plugin/outbound/classes.go
+++ b/plugin/outbound/classes.go
@@ -62,10 +62,10 @@
 
 // Bounds of the load at which calls leave the zone.
 const (
-	spillLeast = 0.7
-	spillMost  = 2.5
+	spillLeast = 1.2
+	spillMost  = 6
 	// spillUsual is that of calls with the usual number of bytes for their duration.
-	spillUsual = 1.1
+	spillUsual = 1.9
 )
 
 // spillAt returns the load of the own zone from which calls of the route go to
--- a/plugin/outbound/decide_test.go
+++ b/plugin/outbound/decide_test.go
@@ -15,6 +15,9 @@
 	"github.com/celeryyard/celeryyard/core/verdict"
 )
 
+// fullZone is the load from which calls leave the zone in these tests.
+const fullZone = 1.1
+
 var start = time.Unix(1_700_000_000, 0)
 
 func endpoints(n int, change func(i int, e *resource.Endpoint)) *resource.EndpointSet {
@@ -44,7 +47,7 @@
 		for _, o := range outcomes {
 			now = now.Add(time.Duration(o) * time.Millisecond)
 			s.update(endpoints(n, nil), now)
-			e := s.pick(now, wish{spillAt: spillUsual}, r.IntN)
+			e := s.pick(now, wish{spillAt: fullZone}, r.IntN)
 			if e == nil {
 				return false
 			}
@@ -79,7 +82,7 @@
 	}
 	r := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
-		if got := s.pick(start, wish{spillAt: spillUsual}, r.IntN); got == e {
+		if got := s.pick(start, wish{spillAt: fullZone}, r.IntN); got == e {
 			t.Fatal("the ejected endpoint was picked")
 		}
 	}
@@ -91,7 +94,7 @@
 	r := rand.New(rand.NewPCG(1, 1))
 	share := func(s *set, want func(e *endpoint) bool) (n int) {
 		for range 1000 {
-			if e := s.pick(start, wish{spillAt: spillUsual}, r.IntN); e != nil && want(e) {
+			if e := s.pick(start, wish{spillAt: fullZone}, r.IntN); e != nil && want(e) {
 				n++
 			}
 		}
@@ -121,7 +124,7 @@
 	if n := share(s, func(e *endpoint) bool { return e.Node == "n0" }); n != 1000 {
 		t.Fatalf("%d of 1000 calls go to the only ready endpoint", n)
 	}
-	if e := s.pick(start, wish{tried: s.list[:1], spillAt: spillUsual}, r.IntN); e != s.list[3] {
+	if e := s.pick(start, wish{tried: s.list[:1], spillAt: fullZone}, r.IntN); e != s.list[3] {
 		t.Fatalf("without it %v was picked, want the stale one", e)
 	}
 }
@@ -148,7 +151,7 @@
 	got := 0
 	for range 100 { // ten calls in flight at a time
 		for range 10 {
-			s.pick(start, wish{spillAt: spillUsual, slow: 10 * time.Second}, r.IntN).inflight++
+			s.pick(start, wish{spillAt: fullZone, slow: 10 * time.Second}, r.IntN).inflight++
 		}
 		got += cold.inflight
 		s.list[0].inflight, cold.inflight = 0, 0
@@ -279,16 +282,34 @@
 	for _, e := range s.list {
 		e.rejected("", 2, s.zone, start)
 	}
-	if e := s.pick(start, wish{priority: 2, spillAt: spillUsual}, r.IntN); e != nil {
+	if e := s.pick(start, wish{priority: 2, spillAt: fullZone}, r.IntN); e != nil {
 		t.Fatalf("%s was picked although it is full", e.Node)
 	}
-	if e := s.pick(start, wish{priority: 1, spillAt: spillUsual}, r.IntN); e == nil {
+	if e := s.pick(start, wish{priority: 1, spillAt: fullZone}, r.IntN); e == nil {
 		t.Fatal("a more urgent call found no endpoint")
 	}
-	if e := s.pick(start, wish{organisation: "other", priority: 2, spillAt: spillUsual}, r.IntN); e == nil {
+	if e := s.pick(start, wish{organisation: "other", priority: 2, spillAt: fullZone}, r.IntN); e == nil {
 		t.Fatal("a call of another organisation found no endpoint")
 	}
-	if e := s.pick(start.Add(fullLocal), wish{priority: 2, spillAt: spillUsual}, r.IntN); e != s.list[0] {
+	if e := s.pick(start.Add(fullLocal), wish{priority: 2, spillAt: fullZone}, r.IntN); e != s.list[0] {
 		t.Fatalf("after the local pause %v was picked", e)
 	}
 }
+
+// Guards against calls that pay for many bytes between zones although others would
+// free more of a slot's time for each byte.
+func TestCallsWithFewBytesForTheirTimeLeaveFirst(t *testing.T) {
+	c := classes{means: map[string]usage{}}
+	for range 50 {
+		c.observe("long", 600*time.Millisecond, 2000)
+		c.observe("short", 40*time.Millisecond, 700)
+		c.observe("large", 200*time.Millisecond, 6000)
+	}
+	long, short, large := c.spillAt("long"), c.spillAt("short"), c.spillAt("large")
+	if long >= short || long >= large || long < spillLeast || large > spillMost {
+		t.Fatalf("calls leave at a load of %.2f (long), %.2f (short), %.2f (large)", long, short, large)
+	}
+	if got := c.spillAt("unknown"); got != spillUsual {
+		t.Fatalf("an unknown route leaves at a load of %.2f", got)
+	}
+}
