--- a/core/resource/configuration_test.go
+++ b/core/resource/configuration_test.go
@@ -82,7 +82,9 @@
 		"unknown service": func(c *Configuration) { c.Routes[0].Service = "x" },
 		"unknown share":   func(c *Configuration) { c.Routes[0].Service, c.Routes[0].Split = "", []ServiceShare{{"x", 1}} },
 		"no weight":       func(c *Configuration) { c.Routes[0].Service, c.Routes[0].Split = "", []ServiceShare{{"a", 0}} },
-		"negative weight": func(c *Configuration) { c.Routes[0].Service, c.Routes[0].Split = "", []ServiceShare{{"a", -1}, {"b", 2}} },
+		"negative weight": func(c *Configuration) {
+			c.Routes[0].Service, c.Routes[0].Split = "", []ServiceShare{{"a", -1}, {"b", 2}}
+		},
 		"no service":      func(c *Configuration) { c.Routes[0].Service = "" },
 		"no timeout":      func(c *Configuration) { c.Routes[0].TimeoutMillis = 0 },
 		"no host":         func(c *Configuration) { c.Routes[0].Host = "" },
