--- /dev/null
+++ b/core/httpcall/buffer_test.go
@@ -0,0 +1,90 @@
+package httpcall
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/kernel/rank"
+)
+
+// buffered sends a request whose answer must carry the header "Id: 1".
+func buffered(c *Client, address string) (*Exchange, *Failure) {
+	return c.Do(context.Background(), &Request{
+		To: Target{Address: address}, Deadline: time.Now().Add(2 * time.Second), Buffer: 1 << 10,
+		Skip: func(r *http.Response) bool { return r.Header.Get("Id") != "1" },
+		HTTP: &http.Request{Method: "GET", URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
+	})
+}
+
+// Guards against a late answer to another request that is passed on, and against
+// the loss of the own answer behind it.
+func TestAnswersToOtherRequestsAreSkipped(t *testing.T) {
+	const late, own = "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nold", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nnew"
+	for name, tc := range map[string]struct {
+		answer string
+		ok     bool
+	}{
+		"own":           {own, true},
+		"late, own":     {late + own, true},
+		"late twice":    {late + late + own, true},
+		"late only":     {late, false},
+		"late, closing": {"HTTP/1.1 200 OK\r\nId: 0\r\nConnection: close\r\nContent-Length: 3\r\n\r\nold" + own, false},
+	} {
+		address, _ := scripted(t, func(c net.Conn, _ int) {
+			_, _ = io.WriteString(c, tc.answer)
+			_ = c.Close()
+		})
+		c := NewClient(ClientOptions{Rank: rank.Routing})
+		x, f := buffered(c, address)
+		switch {
+		case (f == nil) != tc.ok:
+			t.Errorf("%s: failure %v", name, f)
+		case f != nil && f.Verdict() != verdict.MayHaveRun:
+			t.Errorf("%s: verdict %v of a request that was sent", name, f.Verdict())
+		case f == nil:
+			if b, err := io.ReadAll(x.Response.Body); err != nil || string(b) != "new" {
+				t.Errorf("%s: body %q, %v", name, b, err)
+			}
+			x.Finish(true)
+		}
+		c.Close()
+	}
+}
+
+// Guards against a cut answer that is begun towards the caller, so that it can no
+// longer be replaced, and against the refusal of one that ends with its connection.
+func TestBufferedAnswersAreWhole(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer string
+		ok     bool
+	}{
+		"short body":     {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok", false},
+		"cut chunks":     {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", false},
+		"chunks":         {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+		"no framing":     {"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok", true},
+		"bytes, no head": {"\x00\x01\x02\r\n\r\n", false},
+	} {
+		address, _ := scripted(t, func(c net.Conn, _ int) {
+			_, _ = io.WriteString(c, tc.answer)
+			_ = c.Close()
+		})
+		c := NewClient(ClientOptions{Rank: rank.Routing})
+		x, f := buffered(c, address)
+		if (f == nil) != tc.ok {
+			t.Errorf("%s: failure %v", name, f)
+		}
+		if f == nil {
+			if b, err := io.ReadAll(x.Response.Body); err != nil || string(b) != "ok" || x.Response.ContentLength != 2 {
+				t.Errorf("%s: body %q of %d, %v", name, b, x.Response.ContentLength, err)
+			}
+			x.Finish(true)
+		}
+		c.Close()
+	}
+}
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -111,6 +111,20 @@
 	}()
 }
 
+// ListenHTTP serves s on address, IP:port, until the server is shut down; an empty
+// address serves nothing. purpose stands in the error when listening fails.
+func (c *Context) ListenHTTP(s *http.Server, address, purpose string) error {
+	if address == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, purpose)
+	}
+	c.Serve(s, l)
+	return nil
+}
+
 // Go runs a job on the pool. A full queue makes Go wait; it must therefore be
 // called by I/O goroutines and timers, not by jobs. It returns false when the
 // pool is stopped and the job will not run.
--- a/plugin/inbound/class.go
+++ b/plugin/inbound/class.go
@@ -17,6 +17,8 @@
 	// reserveMargin is the number of standard deviations of the slots that urgent
 	// jobs use (Poisson arrivals) that is reserved above their mean.
 	reserveMargin = 0.6
+	// reserveFrom is the number of slots in use from which a class counts.
+	reserveFrom = 0.05
 	// loadTime is the time constant of the slots that a class uses.
 	loadTime = 2 * time.Second
 	// costWeight is the part of a new duration in the smoothed one.
@@ -80,7 +82,7 @@
 			load += c.loadAt(now)
 		}
 	}
-	if load == 0 {
+	if load < reserveFrom {
 		return false
 	}
 	long := 0
--- /dev/null
+++ b/plugin/inbound/class_test.go
@@ -0,0 +1,106 @@
+package inbound
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/kernel/pool"
+)
+
+func classJob(priority int, class string, now time.Time, maxWait time.Duration) *pool.Job {
+	return &pool.Job{Group: "o", Priority: priority, Class: class, Deadline: now.Add(5 * time.Minute), MaxWait: maxWait}
+}
+
+// Guards against urgent calls that wait behind others, and against a full queue of
+// less urgent calls that keeps them out.
+func TestUrgentCallsPass(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a := newAdmission(1, 2, &estimate{})
+	running, slow, slower, urgent := classJob(2, "long", now, time.Minute), classJob(2, "long", now, time.Minute),
+		classJob(2, "long", now, time.Minute), classJob(0, "short", now, time.Minute)
+	for _, j := range []*pool.Job{running, slow, slower} {
+		if err := a.Push(j, now); err != nil {
+			t.Fatal(err)
+		}
+		if j == running {
+			if got, _ := a.Pop(now); got != running {
+				t.Fatal("the first call did not start")
+			}
+		}
+	}
+	if err := a.Push(classJob(2, "long", now, time.Minute), now); !errors.Is(err, pool.ErrFull) {
+		t.Fatalf("a call above the limit: %v", err)
+	}
+	if err := a.Push(urgent, now); err != nil {
+		t.Fatalf("an urgent call finds no place: %v", err)
+	}
+	a.Done(running, now)
+	got, dropped := a.Pop(now)
+	if got != urgent || len(dropped) != 1 || dropped[0] != slower {
+		t.Fatalf("%v starts, %d are dropped", got, len(dropped))
+	}
+}
+
+// Guards against long calls that take all slots while short, more urgent ones keep
+// coming, whose callers hold slots elsewhere meanwhile.
+func TestLongCallsLeaveSlots(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a := newAdmission(9, 64, &estimate{})
+	for range 60 { // 60 calls of 40 ms in 1.2 s use two slots
+		a.learn(classJob(1, "short", now, 0), 40*time.Millisecond, now)
+		now = now.Add(20 * time.Millisecond)
+	}
+	a.learn(classJob(2, "long", now, 0), 600*time.Millisecond, now)
+	started := 0
+	for range 20 {
+		if err := a.Push(classJob(2, "long", now, time.Minute), now); err != nil {
+			break
+		}
+		if j, _ := a.Pop(now); j != nil {
+			started++
+		}
+	}
+	if started < 5 || started > 7 {
+		t.Fatalf("%d long calls run in 9 slots, want 5 to 7", started)
+	}
+	if err := a.Push(classJob(1, "short", now, time.Minute), now); err != nil {
+		t.Fatal(err)
+	}
+	short, _ := a.Pop(now)
+	if short == nil || short.Class != "short" {
+		t.Fatal("no slot is left for a short call")
+	}
+	a.Done(short, now.Add(time.Millisecond))
+	now = now.Add(time.Minute) // no short calls any more
+	for {
+		j, _ := a.Pop(now)
+		if j == nil {
+			break
+		}
+		started++
+	}
+	if started != 9 {
+		t.Fatalf("%d long calls run, want 9: the reserve outlives its reason", started)
+	}
+}
+
+// Guards against calls that are queued although they would wait for longer than is
+// useful to them.
+func TestPatienceIsKept(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a := newAdmission(1, 64, &estimate{})
+	a.learn(classJob(2, "c", now, 0), 300*time.Millisecond, now)
+	if err := a.Push(classJob(2, "c", now, time.Second), now); err != nil {
+		t.Fatal(err)
+	}
+	if j, _ := a.Pop(now); j == nil {
+		t.Fatal("the first call did not start")
+	}
+	if err := a.Push(classJob(2, "c", now, 100*time.Millisecond), now); !errors.Is(err, errTooLong) {
+		t.Fatalf("a wait of 300 ms with a patience of 100 ms: %v", err)
+	}
+	if err := a.Push(classJob(2, "c", now, 400*time.Millisecond), now); err != nil {
+		t.Fatalf("a wait of 300 ms with a patience of 400 ms: %v", err)
+	}
+}
