test/e2e: the rolling restart begins once every upstream takes calls

The test now waits for all of them, as it does before each later stop; its rate, bound and duration stay.

--- a/test/e2e/failures_test.go
+++ b/test/e2e/failures_test.go
@@ -256,6 +256,11 @@
 // upstreams and their nodes are restarted one after another under load.
 func TestRollingRestartFailsNoCall(t *testing.T) {
 	f := startFleet(t, false)
+	// A fleet answers as soon as one upstream of each service is ready. If that one
+	// is the first to be stopped, its service has none until the others are.
+	for _, n := range f.Nodes {
+		f.takesCalls(n)
+	}
 	done := make(chan *load.Result, 1)
 	callers := f.Plan.Nodes[0].Callers // the first node is not restarted, since callers talk to it
 	go func() {
@@ -274,10 +279,7 @@
 		harness.WaitReady(t, recovery, f.Nodes[i])
 		// As an operator does: the next one is stopped when this one takes calls again.
 		began := time.Now()
-		harness.Wait(t, recovery, "restarted upstream is announced as ready", func() bool {
-			v, ok := f.Nodes[i].Metric("celeryyard_announce_ready")
-			return ok && v == 1
-		})
+		f.takesCalls(f.Nodes[i])
 		t.Logf("%s: upstream ready %v after its node", f.Nodes[i].Name, time.Since(began).Round(time.Millisecond))
 	}
 	r := <-done
@@ -292,6 +294,15 @@
 	}
 }
 
+// takesCalls waits until the node has announced its upstream as ready.
+func (f *fleet) takesCalls(n *harness.Process) {
+	f.t.Helper()
+	harness.Wait(f.t, recovery, "upstream is announced as ready", func() bool {
+		v, ok := n.Metric("celeryyard_announce_ready")
+		return ok && v == 1
+	})
+}
+
 // Guards against an upstream that outlives its node's planned stop and, by
 // announcing itself again, gets the ending node new calls.
 func TestStoppingNodeTakesNoAnnouncement(t *testing.T) {
