outbound: first offers ask for a free slot only

Change: the first two offers take a slot that is free now or about to be; the third goes to the least loaded of those asked, with the full patience. A rejection carries the load of the endpoint.

--- a/core/httpcall/failure.go
+++ b/core/httpcall/failure.go
@@ -37,7 +37,10 @@
 	Kind Kind
 	// Reason is the reason of a rejection.
 	Reason string
-	Err    *verdict.Error
+	// Load is what the rejecting node reported of its upstream; HasLoad tells that it did.
+	Load    float64
+	HasLoad bool
+	Err     *verdict.Error
 }
 
 // Error implements error.
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -80,11 +80,31 @@
 // urgentShare is the part of the remaining time that an urgent call may wait.
 const urgentShare = 0.5
 
-// patience is how long the call may still wait for a slot. One of the least urgent
-// that waits for longer misses its target and holds up those that could still meet
-// theirs. A more urgent one passes them in the queue and may wait: what depends on
-// it, such as a request that makes the call, would fail with it.
+// Constants of the first offers of a call, which ask for a slot that is free now or
+// about to be: the call does not wait at one endpoint while another one is idle.
+const (
+	// probeOffers is the number of these offers.
+	probeOffers = 2
+	// probeShare is the part of the route's target that they may wait.
+	probeShare = 0.05
+)
+
+// patience is how long the call may wait for a slot at the next endpoint.
 func (c *call) patience() time.Duration {
+	if c.probing() {
+		return min(c.fullPatience(), time.Duration(probeShare*float64(c.route.Target())))
+	}
+	return c.fullPatience()
+}
+
+// probing reports whether the next offer is one of those that do not wait.
+func (c *call) probing() bool { return c.key == "" && c.offers < probeOffers }
+
+// fullPatience is how long the call may still wait for a slot. One of the least
+// urgent that waits for longer misses its target and holds up those that could still
+// meet theirs. A more urgent one passes them in the queue and may wait: what depends
+// on it, such as a request that makes the call, would fail with it.
+func (c *call) fullPatience() time.Duration {
 	if !c.o.table.leastUrgent(c.cluster, c.route.Priority) {
 		return max(time.Duration(urgentShare*float64(time.Until(c.deadline))), 0)
 	}
@@ -124,6 +144,11 @@
 
 // choose returns the endpoint of the next attempt, or nil.
 func (c *call) choose(tried []*endpoint) (*endpoint, httpcall.Target) {
+	if c.key == "" && c.offers == probeOffers {
+		if e, to := c.o.table.leastLoaded(c.cluster, tried, time.Now()); e != nil {
+			return e, to
+		}
+	}
 	if c.key == "" {
 		return c.o.table.pick(c.cluster, wish{
 			organisation: c.route.Organisation, priority: c.route.Priority, tried: tried, spillAt: c.o.classes.spillAt(c.route.Name),
@@ -174,9 +199,12 @@
 		c.settle(e, to.Node, outcome(f))
 		if f.Kind == httpcall.KindRejected {
 			c.o.rejected(f.Reason)
-			if f.Reason == httpcall.ReasonWait || f.Reason == httpcall.ReasonFull {
+			if !c.probing() && (f.Reason == httpcall.ReasonWait || f.Reason == httpcall.ReasonFull) {
 				c.o.table.full(e, c.route.Organisation, c.route.Priority, time.Now())
 			}
+			if f.HasLoad {
+				c.o.table.measured(e, f.Load, time.Now())
+			}
 		}
 		return f
 	}
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -170,6 +170,31 @@
 	e.load, e.loadAt = load, now
 }
 
+// measured notes the load that an endpoint reported with a rejection, which is that
+// of this moment.
+func (t *table) measured(e *endpoint, load float64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.load, e.loadAt = load, now
+}
+
+// leastLoaded returns the endpoint with the least load among those that the call was
+// offered to, counted as in flight; nil when none of them can take it.
+func (t *table) leastLoaded(c *resource.Cluster, tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best *endpoint
+	for _, e := range tried {
+		if e.State != resource.StateReady || e.avoided(now) || now.Sub(e.loadAt) >= loadTrust {
+			continue
+		}
+		if best == nil || e.score(now, 0) < best.score(now, 0) {
+			best = e
+		}
+	}
+	return t.chosen(best)
+}
+
 // took notes the relative duration of a call.
 func (t *table) took(e *endpoint, relative float64) {
 	t.mu.Lock()
