capacity: endpoints' speed and load are reported to all nodes

Cause: with 92 nodes and 53 endpoints a node calls each endpoint once in six seconds and cannot learn which of them are slow; the choice is blind. Change: nodes report load and mean durations by class with their pings; control instances exchange the reports and answer pings with two bytes for each endpoint of the services that the node calls. Calls leave a zone whose endpoints would serve them late, ask one endpoint of another zone when two have no free slot, and only then wait. A control instance that has just started does not count as isolated at once; a node without a configuration tells callers to come back after a part of their own time.

--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -96,6 +96,11 @@
 type Ping struct {
 	// Version is the version in force on the node.
 	Version resource.Version `json:"version,omitzero"`
+	// Report tells of the upstream beside the node; nil without one.
+	Report *LoadReport `json:"r,omitempty"`
+	// Calls names the services that the node has called lately, whose loads the
+	// answer is to tell.
+	Calls []string `json:"c,omitempty"`
 }
 
 // Pong answers Ping.
@@ -103,6 +108,9 @@
 	// Isolated tells that the instance does not reach the quorum, so that its nodes
 	// look for one that does.
 	Isolated bool `json:"isolated,omitzero"`
+	// Loads tells of the endpoints of the services that the ping named, as far as
+	// anything is known.
+	Loads []ServiceLoads `json:"l,omitempty"`
 }
 
 // Record is the entry of one node in the endpoint table.
--- a/kernel/rank/rank.go
+++ b/kernel/rank/rank.go
@@ -24,6 +24,7 @@
 	Catalog      Rank = 60
 	Discovery    Rank = 70
 	Distribution Rank = 80
+	Capacity     Rank = 85
 	View         Rank = 90
 	Announce     Rank = 100
 	Routing      Rank = 110
@@ -37,7 +38,7 @@
 
 var names = map[Rank]string{
 	Kernel: "kernel", Peer: "peer", Session: "session", Quorum: "quorum", Journal: "journal",
-	Catalog: "catalog", Discovery: "discovery", Distribution: "distribution", View: "view",
+	Catalog: "catalog", Discovery: "discovery", Distribution: "distribution", Capacity: "capacity", View: "view",
 	Announce: "announce", Routing: "routing", Balancer: "balancer", Admission: "admission",
 	Idempotency: "idempotency", Load: "load", Pool: "pool", Events: "events",
 }
--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -81,6 +81,19 @@
 	return nil
 }
 
+// Conns returns the connections to the other control instances.
+func (d *Discovery) Conns() []*rpc.Conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*rpc.Conn
+	for _, t := range d.remotes {
+		if t.conn != nil {
+			out = append(out, t.conn)
+		}
+	}
+	return out
+}
+
 func (d *Discovery) sendAll(heartbeat bool) {
 	d.mu.Lock()
 	list := make([]*remote, 0, len(d.remotes))
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -14,6 +14,7 @@
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
 	"github.com/celeryyard/celeryyard/plugin/announce"
+	_ "github.com/celeryyard/celeryyard/plugin/capacity" // registers itself
 	"github.com/celeryyard/celeryyard/plugin/discovery"
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/view"
@@ -250,7 +251,7 @@
 	m := f.members[i]
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q, "seed": %d, "data_folder": %q},
 		"peer": {"listen": %q, "instances": %s}, "discovery": {"settle_timeout": "300ms"}%s}`, m.Name, m.AvailabilityZone, f.key, i+1, f.t.TempDir(), m.Address, f.instances(), extra)
-	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "distribution"}, text, false)
+	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "capacity", "distribution"}, text, false)
 	return &control{
 		Kernel: k, catalog: k.Service("catalog").(*fakeCatalog), log: k.Service("quorum").(*fakeLog),
 		discovery: k.Service("discovery").(*discovery.Discovery), distribution: k.Service("distribution").(*Distribution), stop: stop,
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -334,3 +334,27 @@
 		kerneltest.Wait(t, within, "withdrawal", func() bool { return n.endpoints("catalogo") == 0 })
 	}
 }
+
+// Guards against a restart of all instances after which every node moves on at once,
+// since no instance has reached the quorum yet, and waits for its configuration anew.
+func TestStartedInstanceIsNotIsolatedAtOnce(t *testing.T) {
+	f := newFleet(t, "cant-a")
+	a := f.control(0, `, "distribution": {"isolated_after": "700ms"}`)
+	a.log.partition(true)
+	a.log.mu.Lock()
+	a.log.confirmed = time.Time{}
+	a.log.mu.Unlock()
+	r := f.rawNode(0, "n1")
+	isolated := func() bool {
+		var reply peerapi.HelloReply
+		r.call(peerapi.NodeHello, &peerapi.Hello{Node: "n1", Services: []string{"*"}, Probe: true}, &reply)
+		return reply.Isolated
+	}
+	if time.Since(a.distribution.started) < 500*time.Millisecond && isolated() {
+		t.Fatal("the instance is isolated as soon as it has started")
+	}
+	kerneltest.Wait(t, within, "isolated instance", isolated)
+	if d := time.Since(a.distribution.started); d < 700*time.Millisecond {
+		t.Fatalf("the instance is isolated after %v", d)
+	}
+}
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -56,9 +56,15 @@
 	return out
 }
 
-// isolated reports whether this instance has lost the quorum.
+// isolated reports whether this instance has lost the quorum. One that has just
+// started gets the same time to find it: when all instances return together, their
+// nodes would otherwise all move before the first election ends.
 func (d *Distribution) isolated(now time.Time) bool {
-	return now.Sub(d.log.Status().Confirmed) > d.s.IsolatedAfter.D()
+	since := d.log.Status().Confirmed
+	if since.Before(d.started) {
+		since = d.started
+	}
+	return now.Sub(since) > d.s.IsolatedAfter.D()
 }
 
 // attach enters a session into the table and reports whether a linearizable
@@ -182,7 +188,10 @@
 	if e.zone == d.c.Instance.AvailabilityZone {
 		d.reported(p.Version)
 	}
-	r.Reply(&peerapi.Pong{Isolated: d.isolated(d.c.Clock.Now())})
+	if p.Report != nil {
+		d.capacity.Report(e.node, *p.Report)
+	}
+	r.Reply(&peerapi.Pong{Isolated: d.isolated(d.c.Clock.Now()), Loads: d.capacity.Loads(p.Calls)})
 }
 
 // onAnnounce takes the record of the node's upstream. A withdrawal and the start
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -51,6 +51,14 @@
 	Conn(instance string) *rpc.Conn
 }
 
+// Capacity is what distribution uses of the plug-in "capacity".
+type Capacity interface {
+	// Report takes what a node attached to this instance says of its upstream.
+	Report(node string, r peerapi.LoadReport)
+	// Loads returns what is known of the endpoints of the named services.
+	Loads(services []string) []peerapi.ServiceLoads
+}
+
 // entry is a session with its connection.
 type entry struct {
 	*session
@@ -73,8 +81,10 @@
 	log       api.Log
 	catalog   api.Catalog
 	discovery Discovery
+	capacity  Capacity
 	trace     *trace.Trace
 	pace      *rate.Limiter
+	started   time.Time
 
 	// mu guards everything below. It is not held during calls into the catalog,
 	// the log or discovery, whose ranks are lower.
@@ -107,7 +117,7 @@
 	d := &Distribution{
 		c: c, s: s, peer: kernel.Use[*peer.Peer](c, "peer"), log: kernel.Use[api.Log](c, "quorum"),
 		catalog: kernel.Use[api.Catalog](c, "catalog"), discovery: kernel.Use[Discovery](c, "discovery"),
-		trace: trace.Of(c), pace: rate.NewLimiter(rate.Limit(s.ResumeRate), s.ResumeBurst),
+		capacity: kernel.Use[Capacity](c, "capacity"), trace: trace.Of(c), started: c.Clock.Now(), pace: rate.NewLimiter(rate.Limit(s.ResumeRate), s.ResumeBurst),
 		mu: rank.New(rank.Distribution), sessions: map[uint64]*entry{}, byNode: map[string]*entry{},
 		index: newIndex(), sets: map[string]*setState{}, dirty: map[string]bool{},
 		deltas: map[deltaKey]*resource.Delta{}, encoded: map[string]*encoded{},
--- a/plugin/distribution/setup.go
+++ b/plugin/distribution/setup.go
@@ -10,7 +10,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:  "distribution",
-		Needs: []string{"peer", "quorum", "catalog", "discovery"},
+		Needs: []string{"peer", "quorum", "catalog", "discovery", "capacity"},
 		After: []string{"admin", "trace"},
 		Settings: func() any {
 			return &Settings{
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -199,7 +199,7 @@
 }
 
 // send dispatches the request to the upstream; nil when it failed.
-func (c *call) send() *httpcall.Exchange {
+func (c *call) send() (x *httpcall.Exchange) {
 	begin := time.Now()
 	c.in.queueTime.Update(begin.Sub(c.queued).Seconds())
 	if c.ctx.Err() != nil || !begin.Before(c.deadline) {
@@ -218,7 +218,11 @@
 	c.in.dialect.WriteCall(header, c.sent)
 	c.url = *c.r.URL
 	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
-	x, f := c.in.client.Do(c.ctx, &httpcall.Request{
+	if c.info.Target > 0 {
+		c.in.usage.begin(c, c.info.Class(), begin)
+		defer func() { c.in.usage.end(c, x != nil, time.Now()) }()
+	}
+	answered, f := c.in.client.Do(c.ctx, &httpcall.Request{
 		To:   httpcall.Target{Address: c.upstream},
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.in.s.BufferBytes,
@@ -228,7 +232,7 @@
 		c.failed = f
 		return nil
 	}
-	return c.judge(x, begin)
+	return c.judge(answered, begin)
 }
 
 // judge tells an answer of the upstream from proofs that it ran nothing and from
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -18,12 +18,14 @@
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
 	"github.com/celeryyard/celeryyard/plugin/idempotency"
 	"github.com/celeryyard/celeryyard/plugin/peer"
+	"github.com/celeryyard/celeryyard/plugin/session"
 )
 
 var (
@@ -58,6 +60,7 @@
 	client   *httpcall.Client
 	server   *http.Server
 	least    estimate
+	usage    usage
 	reported atomic.Uint64 // load that the upstream reported, as bits of a float64
 
 	dispatches *metrics.Counter
@@ -86,6 +89,9 @@
 		in.dialect = d
 	}
 	in.announce.OnLeave(in.leave)
+	if s, ok := kernel.Find[*session.Session](c, "session"); ok {
+		s.OnReport(in.report)
+	}
 	c.Metrics.NewGauge("celeryyard_inbound_active_calls", func() float64 {
 		in.mu.Lock()
 		defer in.mu.Unlock()
@@ -94,6 +100,15 @@
 	return in
 }
 
+// report tells the fleet of the upstream; nil without one.
+func (in *Inbound) report() *peerapi.LoadReport {
+	e := in.announce.Endpoint()
+	if e.Slots == 0 {
+		return nil
+	}
+	return in.usage.report(e.Slots, time.Now())
+}
+
 // Start implements kernel.Plugin.
 func (in *Inbound) Start(context.Context) error {
 	if in.s.Listen == "" {
@@ -186,6 +201,7 @@
 		in.resize(slots)
 	}
 	if in.pool != nil {
+		in.usage.enter(time.Now())
 		in.active++
 	}
 	return in.pool, false
@@ -211,6 +227,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.active--
+	in.usage.exit(time.Now())
 	in.checkIdle()
 }
 
--- a/plugin/outbound/answer.go
+++ b/plugin/outbound/answer.go
@@ -91,13 +91,13 @@
 	retryShare = 0.3
 	// retryLeast gives a full queue time to move on.
 	retryLeast = 50 * time.Millisecond
-	// retryUnknown is used for calls without a route.
+	// retryUnknown is used for calls without a route that state no time.
 	retryUnknown = 200 * time.Millisecond
 )
 
 // retryAfter is when the caller may send the call again.
 func (c *call) retryAfter() time.Duration {
-	if c.route == nil {
+	if c.deadline.IsZero() {
 		return retryUnknown
 	}
 	return max(time.Duration(retryShare*float64(time.Until(c.deadline))), retryLeast)
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -13,6 +13,13 @@
 	// An endpoint of another zone is taken only when the own zone's is busier than
 	// the route allows and busier than the other one by the factor zoneFactor.
 	zoneFactor = 1.5
+	// reportTrust is the age at which a reported slowness is no longer used.
+	reportTrust = 5 * time.Second
+	// loadFresh is the age up to which a load that came with an answer is preferred
+	// to the mean that the fleet reports.
+	loadFresh = 300 * time.Millisecond
+	// ownSlow is how much slower than reported the own calls must be to count.
+	ownSlow = 3
 	// leastWeight is the share of a cold endpoint at the begin of its slow start.
 	leastWeight = 0.1
 	// observeWeight is the part of a new observation in the smoothed figures of an
@@ -35,7 +42,7 @@
 	slowLeast, slowMost = 0.4, 8
 	// wholeSet is the number of endpoints up to which all are compared; in larger
 	// sets two drawn at random are.
-	wholeSet = 24
+	wholeSet = 8
 	// busyLoad is the load assumed of an endpoint that has just rejected a call.
 	busyLoad = 2
 	// fullLocal and fullRemote are the pauses after a rejection for lack of room, in
@@ -80,6 +87,10 @@
 	seen     time.Time
 	// slow is the smoothed duration of its calls relative to that of their class.
 	slow float64
+	// slowness is the same as the node beside it reports it, without the time in
+	// queues and on the way, as of reported.
+	slowness float64
+	reported time.Time
 	// failing is the smoothed share of calls that failed.
 	failing   float64
 	failures  int
@@ -134,6 +145,10 @@
 	zone   string
 	source *resource.EndpointSet
 	list   []*endpoint
+	// digest names source; it is worked out when it is needed.
+	digest uint64
+	// called is when the last call was sent to the service.
+	called time.Time
 	// local and remote are scratch space of pick.
 	local, remote []*endpoint
 }
@@ -143,7 +158,7 @@
 	if s.source == from {
 		return
 	}
-	s.source = from
+	s.source, s.digest = from, 0
 	old := map[string]*endpoint{}
 	for _, e := range s.list {
 		old[e.Node] = e
@@ -190,12 +205,25 @@
 func (e *endpoint) score(now time.Time, slow time.Duration) float64 {
 	busy := e.busy(now)
 	v := 1 + busyIdle*busy + busyWait*max(busy-busyFrom, 0)
-	if e.slow > 0 {
-		v *= min(max(e.slow, slowLeast), slowMost)
-	}
+	v *= e.slowFactor(now)
 	return v/e.weight(now, slow)*(1+failureWeight*e.failing) + float64(e.failures)
 }
 
+// slowFactor is the expected duration of a call relative to that at other endpoints.
+// What the node beside the endpoint reports covers the calls of all nodes; the own
+// calls only count besides when they are much slower, as with a fault that only some
+// callers see.
+func (e *endpoint) slowFactor(now time.Time) float64 {
+	own := e.slow
+	if own <= 0 {
+		own = 1
+	}
+	if now.Sub(e.reported) < reportTrust && own < ownSlow*e.slowness {
+		own = e.slowness
+	}
+	return min(max(own, slowLeast), slowMost)
+}
+
 // avoided reports whether the endpoint is ejected or said that it leaves.
 func (e *endpoint) avoided(now time.Time) bool {
 	return now.Before(e.ejected) || now.Before(e.leaving)
@@ -207,8 +235,12 @@
 	priority     int
 	// tried lists endpoints that are not to be taken again.
 	tried []*endpoint
-	// spillAt is the load of the own zone from which the call leaves the zone.
-	spillAt float64
+	// spillAt is the load of the own zone from which the call leaves the zone, and
+	// spillAfter the expected duration there from which it does; 0 for none.
+	spillAt    float64
+	spillAfter time.Duration
+	// base is the duration of such calls at a score of 1; 0 when it is unknown.
+	base time.Duration
 	// slow is the slow start of the cluster.
 	slow time.Duration
 }
@@ -230,7 +262,7 @@
 				s.remote = append(s.remote, e)
 			}
 		}
-		if e := s.zoned(now, w.slow, w.spillAt, intn); e != nil {
+		if e := s.zoned(now, &w, intn); e != nil {
 			return e
 		}
 	}
@@ -238,20 +270,27 @@
 }
 
 // zoned takes the own zone's candidate unless it is clearly busier.
-func (s *set) zoned(now time.Time, slow time.Duration, spillAt float64, intn func(int) int) *endpoint {
-	l, r := better(s.local, now, slow, intn), better(s.remote, now, slow, intn)
+func (s *set) zoned(now time.Time, w *wish, intn func(int) int) *endpoint {
+	l, r := better(s.local, now, w.slow, intn), better(s.remote, now, w.slow, intn)
 	if l == nil || r == nil {
 		if l != nil {
 			return l
 		}
 		return r
 	}
-	if l.busy(now) > spillAt && l.score(now, slow) > zoneFactor*r.score(now, slow) {
+	score := l.score(now, w.slow)
+	if (l.busy(now) > w.spillAt || w.late(score)) && score > zoneFactor*r.score(now, w.slow) {
 		return r
 	}
 	return l
 }
 
+// late reports whether a call at an endpoint of the own zone with the score is likely
+// to take longer than it should.
+func (w *wish) late(score float64) bool {
+	return w.spillAfter > 0 && time.Duration(float64(w.base)*score) > w.spillAfter
+}
+
 // better is the least busy endpoint of a small list, and the less busy one of two
 // that are drawn at random from a large one: with many nodes, all of them would
 // otherwise choose the same endpoint until its load is reported.
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -29,6 +29,9 @@
 	// key is the Idempotency-Key of a call that must run at most once over repeats.
 	key string
 	m   *callMetrics
+	// stage is that of the next offer, busy lists the endpoints that had no free slot.
+	stage int
+	busy  []*endpoint
 	// offers counts the dispatches that no upstream has received, arrivals the others.
 	offers, arrivals int
 	// last is the node of the newest dispatch.
@@ -80,15 +83,20 @@
 // urgentShare is the part of the remaining time that an urgent call may wait.
 const urgentShare = 0.5
 
-// Constants of the first offers of a call, which ask for a slot that is free now or
-// about to be: the call does not wait at one endpoint while another one is idle.
+// The first offers of a call ask for a slot that is free now or about to be: the call
+// does not wait at one endpoint while another one is idle. Then it waits at the least
+// busy endpoint that it has asked.
 const (
-	// probeOffers is the number of these offers.
-	probeOffers = 2
-	// probeShare is the part of the route's target that they may wait.
-	probeShare = 0.05
+	stageFirst  = iota
+	stageSecond // another endpoint by the usual choice
+	stageRemote // one of another zone, if one is likely to have a free slot
+	stageWait
+	stageAny
 )
 
+// probeShare is the part of the route's target that an offer before stageWait may wait.
+const probeShare = 0.05
+
 // patience is how long the call may wait for a slot at the next endpoint.
 func (c *call) patience() time.Duration {
 	if c.probing() {
@@ -98,7 +106,7 @@
 }
 
 // probing reports whether the next offer is one of those that do not wait.
-func (c *call) probing() bool { return c.key == "" && c.offers < probeOffers }
+func (c *call) probing() bool { return c.key == "" && c.stage < stageWait }
 
 // fullPatience is how long the call may still wait for a slot. One of the least
 // urgent that waits for longer misses its target and holds up those that could still
@@ -144,16 +152,40 @@
 
 // choose returns the endpoint of the next attempt, or nil.
 func (c *call) choose(tried []*endpoint) (*endpoint, httpcall.Target) {
-	if c.key == "" && c.offers == probeOffers {
-		if e, to := c.o.table.leastLoaded(c.cluster, tried, time.Now()); e != nil {
+	if c.key != "" {
+		return c.holder()
+	}
+	now := time.Now()
+	if c.stage < stageRemote {
+		if e, to := c.pick(tried, now); e != nil {
 			return e, to
 		}
+		c.stage = stageRemote
 	}
-	if c.key == "" {
-		return c.o.table.pick(c.cluster, wish{
-			organisation: c.route.Organisation, priority: c.route.Priority, tried: tried, spillAt: c.o.classes.spillAt(c.route.Name),
-		}, time.Now())
+	if c.stage == stageRemote {
+		if e, to := c.o.table.remote(c.cluster, tried, now); e != nil {
+			return e, to
+		}
+		c.stage = stageWait
 	}
+	if c.stage == stageWait {
+		if e, to := c.o.table.leastLoaded(c.busy, now); e != nil {
+			return e, to
+		}
+		c.stage = stageAny
+	}
+	return c.pick(tried, now)
+}
+
+// pick chooses among all endpoints that were not tried.
+func (c *call) pick(tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
+	w := wish{organisation: c.route.Organisation, priority: c.route.Priority, tried: tried}
+	c.o.classes.spill(&w, c.route.Name, c.route.Target())
+	return c.o.table.pick(c.cluster, w, now)
+}
+
+// holder returns the primary holder of the claim of a keyed call.
+func (c *call) holder() (*endpoint, httpcall.Target) {
 	id := httpcall.ClaimID(c.route.Organisation, c.cluster.Service, c.key)
 	primary, backup := httpcall.Holders(c.endpoints(), id)
 	if primary == nil {
@@ -187,6 +219,7 @@
 	c.call.Patience = c.patience()
 	c.last = to.Node
 	sent := time.Now()
+	score := c.o.table.score(e, sent)
 	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
@@ -199,12 +232,7 @@
 		c.settle(e, to.Node, outcome(f))
 		if f.Kind == httpcall.KindRejected {
 			c.o.rejected(f.Reason)
-			if !c.probing() && (f.Reason == httpcall.ReasonWait || f.Reason == httpcall.ReasonFull) {
-				c.o.table.full(e, c.route.Organisation, c.route.Priority, time.Now())
-			}
-			if f.HasLoad {
-				c.o.table.measured(e, f.Load, time.Now())
-			}
+			c.noRoom(e, f)
 		}
 		return f
 	}
@@ -212,7 +240,7 @@
 		c.o.table.loaded(e, load, time.Now())
 	}
 	if x.Response.StatusCode < http.StatusInternalServerError {
-		relative := c.o.classes.observe(c.route.Name, time.Since(sent), c.bytes(x.Response))
+		relative := c.o.classes.observe(c.route.Name, time.Since(sent), c.bytes(x.Response), score)
 		c.o.table.took(e, relative)
 	}
 	if c.forward(x) {
@@ -223,6 +251,23 @@
 	return nil
 }
 
+// noRoom takes what a rejection tells of the endpoint's load.
+func (c *call) noRoom(e *endpoint, f *httpcall.Failure) {
+	now := time.Now()
+	if f.HasLoad {
+		c.o.table.measured(e, f.Load, now)
+	}
+	if f.Reason != httpcall.ReasonWait && f.Reason != httpcall.ReasonFull {
+		return
+	}
+	if c.probing() {
+		c.busy = append(c.busy, e)
+	} else {
+		c.o.table.full(e, c.route.Organisation, c.route.Priority, now)
+	}
+	c.stage++
+}
+
 // headBytes stands for the heads of a request and its answer.
 const headBytes = 700
 
--- /dev/null
+++ b/plugin/outbound/capacity_test.go
@@ -0,0 +1,140 @@
+package outbound
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/peerapi"
+	"github.com/celeryyard/celeryyard/core/resource"
+)
+
+// learned returns a table with n endpoints, of which every third is reported to be
+// twice as slow as the others.
+func learned(t *testing.T, n int) (*table, *set) {
+	t.Helper()
+	from := endpoints(n, nil)
+	snapshot := &resource.Snapshot{Sets: map[string]*resource.EndpointSet{"svc": from}}
+	tb := newTable("z1", func() *resource.Snapshot { return snapshot }, rand.New(rand.NewPCG(3, 3)))
+	s := tb.set("svc", start)
+	entries := make([]byte, 0, 2*n)
+	for i := range n {
+		l := peerapi.EndpointLoad{Slowness: 1, Load: 0.4}
+		if i%3 == 0 {
+			l.Slowness = 2
+		}
+		slow, load := peerapi.EncodeLoad(l)
+		entries = append(entries, slow, load)
+	}
+	tb.learn([]peerapi.ServiceLoads{{Service: "svc", Digest: peerapi.Digest(from), Entries: entries}}, start)
+	return tb, s
+}
+
+// Guards against a node that calls each of many endpoints too seldom to learn which
+// ones are slow and spreads its calls over all of them alike.
+func TestReportedSlownessDecidesBeforeOwnCalls(t *testing.T) {
+	tb, s := learned(t, 48)
+	slow := 0
+	for range 1000 {
+		e, _ := tb.pick(&resource.Cluster{Service: "svc"}, wish{spillAt: fullZone}, start)
+		if e.slowness == 2 {
+			slow++
+		}
+		e.inflight--
+	}
+	// Two drawn endpoints are both slow once in nine draws; some calls explore.
+	if slow > 200 {
+		t.Errorf("%d of 1000 calls went to the slow third", slow)
+	}
+	if got := tb.called(start); len(got) != 1 || got[0] != "svc" {
+		t.Errorf("called services %v", got)
+	}
+	if got := tb.called(start.Add(calledFor)); len(got) != 0 {
+		t.Errorf("services %v are asked for after the last call", got)
+	}
+	if e := s.list[0]; e.slowFactor(start) != 2 || e.slowFactor(start.Add(reportTrust)) != 1 {
+		t.Errorf("slow factor %v, %v after the report has aged", e.slowFactor(start), e.slowFactor(start.Add(reportTrust)))
+	}
+}
+
+// Guards against entries that are taken for those of other endpoints because the set
+// has changed meanwhile.
+func TestReportsOfAnotherSetAreIgnored(t *testing.T) {
+	tb, s := learned(t, 3)
+	other := endpoints(4, nil)
+	slow, load := peerapi.EncodeLoad(peerapi.EndpointLoad{Slowness: 5, Load: 3})
+	tb.learn([]peerapi.ServiceLoads{
+		{Service: "svc", Digest: peerapi.Digest(other), Entries: []byte{slow, load, slow, load, slow, load, slow, load}},
+		{Service: "unknown", Entries: []byte{slow, load}},
+	}, start.Add(time.Second))
+	if s.list[1].slowness != 1 {
+		t.Errorf("slowness %v, want that of the set held", s.list[1].slowness)
+	}
+}
+
+// Guards against a fault that only some callers see, such as a bad path to one
+// endpoint: the report of the node beside it says nothing of it.
+func TestOwnCallsCountWhenMuchSlower(t *testing.T) {
+	_, s := learned(t, 3)
+	e := s.list[1]
+	e.slow = 2.5
+	if got := e.slowFactor(start); got != 1 {
+		t.Errorf("slow factor %v, want that of the report", got)
+	}
+	e.slow = 4
+	if got := e.slowFactor(start); got != 4 {
+		t.Errorf("slow factor %v, want that of the own calls", got)
+	}
+}
+
+// Guards against calls that wait at a busy endpoint while another one is idle.
+func TestFirstOffersDoNotWait(t *testing.T) {
+	tb, s := learned(t, 3)
+	route := &resource.Route{TargetMillis: 600, TimeoutMillis: 2000}
+	c := &call{
+		o: &Outbound{table: tb, s: &Settings{WaitShare: 0.5}}, route: route,
+		cluster: &resource.Cluster{Service: "svc"}, begin: time.Now(), deadline: time.Now().Add(2 * time.Second),
+	}
+	if got := c.patience(); got > 30*time.Millisecond {
+		t.Errorf("the first offer may wait %v", got)
+	}
+	c.stage = stageWait
+	if got := c.patience(); got < 250*time.Millisecond {
+		t.Errorf("a later offer may wait %v only", got)
+	}
+	// The endpoint that was least busy when it was asked is asked again, to wait there.
+	tb.measured(s.list[0], 3, start)
+	tb.measured(s.list[1], 1.5, start)
+	if e, _ := tb.leastLoaded(s.list[:2], start); e != s.list[1] {
+		t.Errorf("the call waits at %v", e)
+	}
+}
+
+// Guards against a zone with more callers than its endpoints serve in time while those
+// of other zones are idle, and against calls that cross zones without need.
+func TestCallsLeaveTheZoneBeforeTheyAreLate(t *testing.T) {
+	s := &set{zone: "z1"}
+	s.update(endpoints(2, func(i int, e *resource.Endpoint) { e.AvailabilityZone = []string{"z1", "z2"}[i] }), start)
+	local, remote := s.list[0], s.list[1]
+	c := classes{means: map[string]usage{}}
+	for range 100 {
+		c.observe("lookup", 200*time.Millisecond, 1000, 1)
+	}
+	r := rand.New(rand.NewPCG(5, 5))
+	pick := func(load float64, target time.Duration) *endpoint {
+		local.load, local.loadAt = load, start
+		remote.load, remote.loadAt = 0.2, start
+		var w wish
+		c.spill(&w, "lookup", target)
+		return s.pick(start, w, r.IntN)
+	}
+	if e := pick(0.3, 500*time.Millisecond); e != local {
+		t.Error("a call leaves a zone that serves it in time")
+	}
+	if e := pick(1, 500*time.Millisecond); e != remote {
+		t.Error("a call that would be late stays in its zone")
+	}
+	if e := pick(1, 5*time.Second); e != local {
+		t.Error("a call with time to wait leaves its zone")
+	}
+}
--- a/plugin/outbound/decide_test.go
+++ b/plugin/outbound/decide_test.go
@@ -301,15 +301,20 @@
 func TestCallsWithFewBytesForTheirTimeLeaveFirst(t *testing.T) {
 	c := classes{means: map[string]usage{}}
 	for range 50 {
-		c.observe("long", 600*time.Millisecond, 2000)
-		c.observe("short", 40*time.Millisecond, 700)
-		c.observe("large", 200*time.Millisecond, 6000)
+		c.observe("long", 600*time.Millisecond, 2000, 1)
+		c.observe("short", 40*time.Millisecond, 700, 1)
+		c.observe("large", 200*time.Millisecond, 6000, 1)
 	}
-	long, short, large := c.spillAt("long"), c.spillAt("short"), c.spillAt("large")
+	spillAt := func(route string) float64 {
+		var w wish
+		c.spill(&w, route, 500*time.Millisecond)
+		return w.spillAt
+	}
+	long, short, large := spillAt("long"), spillAt("short"), spillAt("large")
 	if long >= short || long >= large || long < spillLeast || large > spillMost {
 		t.Fatalf("calls leave at a load of %.2f (long), %.2f (short), %.2f (large)", long, short, large)
 	}
-	if got := c.spillAt("unknown"); got != spillUsual {
+	if got := spillAt("unknown"); got != spillUsual {
 		t.Fatalf("an unknown route leaves at a load of %.2f", got)
 	}
 }
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -19,6 +19,7 @@
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/kernel"
@@ -26,6 +27,7 @@
 	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
 	"github.com/celeryyard/celeryyard/plugin/peer"
+	"github.com/celeryyard/celeryyard/plugin/session"
 )
 
 var (
@@ -93,6 +95,11 @@
 	}
 	o.byOrganisation.Store(&map[string]*callMetrics{})
 	o.view.Watch(o.changed)
+	if s, ok := kernel.Find[*session.Session](c, "session"); ok {
+		s.OnLoads(
+			func() []string { return o.table.called(time.Now()) },
+			func(list []peerapi.ServiceLoads) { o.table.learn(list, time.Now()) })
+	}
 	return o
 }
 
@@ -157,6 +164,9 @@
 		c.refuse(http.StatusBadRequest, verdict.NotRun, err.Error())
 		return
 	}
+	if asked.Timeout > 0 {
+		c.deadline = c.begin.Add(asked.Timeout)
+	}
 	snapshot := o.view.Current()
 	if snapshot == nil || len(snapshot.Routes) == 0 {
 		c.refuse(http.StatusServiceUnavailable, verdict.NotRun, "this node holds no configuration yet")
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -102,7 +102,9 @@
 	w.slow = time.Duration(c.SlowStartMillis) * time.Millisecond
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.chosen(t.set(c.Service, now).pick(now, w, t.rng.IntN))
+	s := t.set(c.Service, now)
+	s.called = now
+	return t.chosen(s.pick(now, w, t.rng.IntN))
 }
 
 // full notes that a call of the priority found no room at an endpoint.
@@ -178,14 +180,44 @@
 	e.load, e.loadAt = load, now
 }
 
-// leastLoaded returns the endpoint with the least load among those that the call was
-// offered to, counted as in flight; nil when none of them can take it.
-func (t *table) leastLoaded(c *resource.Cluster, tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
+// score is the expected duration of a call that was just counted as in flight,
+// relative to that at an idle endpoint of the usual speed.
+func (t *table) score(e *endpoint, now time.Time) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.inflight--
+	defer func() { e.inflight++ }()
+	return e.score(now, 0)
+}
+
+// remoteRoom is the load up to which an endpoint of another zone is asked for a slot
+// once the own zone has none. Its bytes between zones are spent in vain on a busy one.
+const remoteRoom = 0.9
+
+// remote returns an endpoint of another zone that is likely to have a free slot,
+// counted as in flight; nil when there is none.
+func (t *table) remote(c *resource.Cluster, tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.set(c.Service, now)
+	s.remote = s.remote[:0]
+	for _, e := range s.list {
+		if e.AvailabilityZone != t.zone && e.State == resource.StateReady && !e.Stale && !e.avoided(now) &&
+			e.busy(now) < remoteRoom && !contains(tried, e) {
+			s.remote = append(s.remote, e)
+		}
+	}
+	return t.chosen(better(s.remote, now, 0, t.rng.IntN))
+}
+
+// leastLoaded returns the endpoint with the least expected duration among those that
+// had no free slot, counted as in flight; nil when none of them can take the call.
+func (t *table) leastLoaded(busy []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var best *endpoint
-	for _, e := range tried {
-		if e.State != resource.StateReady || e.avoided(now) || now.Sub(e.loadAt) >= loadTrust {
+	for _, e := range busy {
+		if e.State != resource.StateReady || e.avoided(now) {
 			continue
 		}
 		if best == nil || e.score(now, 0) < best.score(now, 0) {
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -24,6 +24,12 @@
 	if v := s.view.Current(); v != nil {
 		p.Version = v.Version
 	}
+	if s.report != nil {
+		p.Report = s.report()
+	}
+	if s.calls != nil {
+		p.Calls = s.calls()
+	}
 	s.call(c, peerapi.NodePing, p, s.s.PingTimeout.D(), func(raw []byte, err error) {
 		var r peerapi.Pong
 		if err == nil {
@@ -34,6 +40,9 @@
 			c.Close()
 			return
 		}
+		if s.loads != nil && len(r.Loads) > 0 {
+			s.loads(r.Loads)
+		}
 		s.ponged(c, r.Isolated)
 	})
 }
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -53,6 +53,9 @@
 	incarnation uint64
 	ctx         context.Context
 	attach      []func()
+	report      func() *peerapi.LoadReport
+	calls       func() []string
+	loads       func([]peerapi.ServiceLoads)
 
 	// mu guards everything below.
 	mu   *rank.Mutex
@@ -104,6 +107,16 @@
 // OnAttach adds a function that is called in a job after each start of a session.
 func (s *Session) OnAttach(f func()) { s.attach = append(s.attach, f) }
 
+// OnReport sets where a ping takes its report of the upstream from; f may return nil.
+// It is called before Start.
+func (s *Session) OnReport(f func() *peerapi.LoadReport) { s.report = f }
+
+// OnLoads sets which services' loads pings ask for and who takes them. It is called
+// before Start; loads is called in a job.
+func (s *Session) OnLoads(calls func() []string, loads func([]peerapi.ServiceLoads)) {
+	s.calls, s.loads = calls, loads
+}
+
 // Attached reports whether the node has a session.
 func (s *Session) Attached() bool {
 	s.mu.Lock()
--- a/role/control/control.go
+++ b/role/control/control.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "github.com/celeryyard/celeryyard/plugin/admin"        // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/capacity"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/catalog"      // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/discovery"    // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/distribution" // registers itself
@@ -15,5 +16,5 @@
 
 // Plugins lists the plug-ins of a control instance.
 func Plugins() []string {
-	return []string{"admin", "trace", "peer", "journal", "quorum", "catalog", "operator", "discovery", "distribution"}
+	return []string{"admin", "trace", "peer", "journal", "quorum", "catalog", "operator", "discovery", "capacity", "distribution"}
 }
