capacity: failures of endpoints are reported, too; all endpoints of small sets are compared

Cause: an endpoint that fails its calls looks fast, and each of 92 nodes sees too few of its failures to avoid it.

--- a/plugin/capacity/table.go
+++ b/plugin/capacity/table.go
@@ -31,7 +31,7 @@
 // take enters a report. Those of own nodes go before what other instances pass on,
 // which may be older.
 func (t *table) take(node string, r peerapi.LoadReport, own bool, now time.Time) {
-	if len(r.Durations) > maxClasses || r.Load < 0 {
+	if len(r.Durations) > maxClasses || r.Load < 0 || r.Failing < 0 || r.Failing > 100 {
 		return
 	}
 	if old, ok := t.reports[node]; ok && old.own && !own && now.Sub(old.at) < trust {
@@ -63,36 +63,58 @@
 // entries encodes what is known of the endpoints of a set, in its order.
 func (t *table) entries(set *resource.EndpointSet, now time.Time) []byte {
 	usual := t.usual(set, now)
-	out := make([]byte, 2*len(set.Endpoints))
+	var out []byte
 	for i := range set.Endpoints {
-		r, ok := t.reports[set.Endpoints[i].Node]
-		if !ok || now.Sub(r.at) >= trust {
-			continue
+		var l peerapi.EndpointLoad
+		if r, ok := t.fresh(set.Endpoints[i].Node, now); ok {
+			l.Slowness, l.Load = slowness(r.Durations, usual.durations), float64(r.Load)/100
+			l.Failing = max(float64(r.Failing)-usual.failing, 0) / 100
 		}
-		out[2*i], out[2*i+1] = peerapi.EncodeLoad(peerapi.EndpointLoad{
-			Slowness: slowness(r.Durations, usual), Load: float64(r.Load) / 100,
-		})
+		out = peerapi.AppendLoad(out, l)
 	}
 	return out
 }
 
-// usual returns the median duration of each class over the endpoints of a set, in
-// milliseconds. A median is not moved by a few endpoints that are very slow.
-func (t *table) usual(set *resource.EndpointSet, now time.Time) map[string]float64 {
+// fresh returns the report of a node if it is still used.
+func (t *table) fresh(node string, now time.Time) (report, bool) {
+	r, ok := t.reports[node]
+	return r, ok && now.Sub(r.at) < trust
+}
+
+// figures are the medians over the endpoints of a service. A median is not moved by a
+// few endpoints that are very slow or fail.
+type figures struct {
+	durations map[string]float64 // by class, in milliseconds
+	failing   float64            // hundredths
+}
+
+func (t *table) usual(set *resource.EndpointSet, now time.Time) figures {
 	all := map[string][]int{}
+	var failing []int
 	for i := range set.Endpoints {
-		if r, ok := t.reports[set.Endpoints[i].Node]; ok && now.Sub(r.at) < trust {
-			for class, ms := range r.Durations {
-				all[class] = append(all[class], ms)
-			}
+		r, ok := t.fresh(set.Endpoints[i].Node, now)
+		if !ok {
+			continue
+		}
+		failing = append(failing, r.Failing)
+		for class, ms := range r.Durations {
+			all[class] = append(all[class], ms)
 		}
 	}
-	out := make(map[string]float64, len(all))
+	f := figures{durations: make(map[string]float64, len(all)), failing: median(failing)}
 	for class, list := range all {
-		slices.Sort(list)
-		out[class] = float64(list[len(list)/2])
+		f.durations[class] = median(list)
 	}
-	return out
+	return f
+}
+
+// median returns the middle value of a list, which it sorts; 0 for an empty one.
+func median(list []int) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return float64(list[len(list)/2])
 }
 
 // slowness is the mean ratio of the durations to the usual ones; 1 when none can be
--- a/plugin/capacity/table_test.go
+++ b/plugin/capacity/table_test.go
@@ -19,6 +19,22 @@
 	return s
 }
 
+// Guards against an endpoint that fails its calls at once and passes for a fast one,
+// and against a fault of all endpoints, such as of a service that they call, that
+// takes all of them out of use.
+func TestFailuresCountBeyondTheUsualShare(t *testing.T) {
+	tb := table{reports: map[string]report{}}
+	for i, failing := range []int{5, 5, 80, 5, 0} {
+		tb.take(fmt.Sprint(i), peerapi.LoadReport{Failing: failing, Durations: durations(100)}, true, start)
+	}
+	s := peerapi.ServiceLoads{Entries: tb.entries(setOf("0", "1", "2", "3", "4"), start)}
+	for at, want := range []float64{0, 0, 0.75, 0, 0} {
+		if l, _ := s.Entry(at); l.Failing != want {
+			t.Errorf("endpoint %d fails %v, want %v", at, l.Failing, want)
+		}
+	}
+}
+
 func durations(classes ...int) map[string]int {
 	d := map[string]int{}
 	for i, ms := range classes {
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -251,6 +252,14 @@
 	m := f.members[i]
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q, "seed": %d, "data_folder": %q},
 		"peer": {"listen": %q, "instances": %s}, "discovery": {"settle_timeout": "300ms"}%s}`, m.Name, m.AvailabilityZone, f.key, i+1, f.t.TempDir(), m.Address, f.instances(), extra)
+	// A node that starts before the instance listens attaches to another one.
+	defer kerneltest.Wait(f.t, within, "listener of the instance", func() bool {
+		c, err := net.Dial("tcp", m.Address)
+		if err != nil {
+			return false
+		}
+		return c.Close() == nil
+	})
 	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "capacity", "distribution"}, text, false)
 	return &control{
 		Kernel: k, catalog: k.Service("catalog").(*fakeCatalog), log: k.Service("quorum").(*fakeLog),
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -220,7 +220,7 @@
 	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
 	if c.info.Target > 0 {
 		c.in.usage.begin(c, c.info.Class(), begin)
-		defer func() { c.in.usage.end(c, x != nil, time.Now()) }()
+		defer func() { c.in.usage.end(c, c.ended(x), time.Now()) }()
 	}
 	answered, f := c.in.client.Do(c.ctx, &httpcall.Request{
 		To:   httpcall.Target{Address: c.upstream},
@@ -235,6 +235,17 @@
 	return c.judge(answered, begin)
 }
 
+// ended tells what a dispatch says of the upstream.
+func (c *call) ended(x *httpcall.Exchange) ended {
+	switch {
+	case x != nil && x.Response.StatusCode < http.StatusInternalServerError:
+		return endedWell
+	case x == nil && (c.failed.Kind == httpcall.KindCancelled || c.failed.Kind == httpcall.KindSource):
+		return endedEarly
+	}
+	return endedBadly
+}
+
 // judge tells an answer of the upstream from proofs that it ran nothing and from
 // what is no answer; it returns nil for the latter two.
 func (c *call) judge(x *httpcall.Exchange, begin time.Time) *httpcall.Exchange {
--- a/plugin/inbound/usage.go
+++ b/plugin/inbound/usage.go
@@ -30,8 +30,37 @@
 	// running holds the calls that the upstream runs.
 	running map[*call]runningCall
 	classes map[string]*durations
+	// failing is the smoothed share of calls that failed, as of failedAt.
+	failing  float64
+	failedAt time.Time
 }
 
+// Constants of the share of calls that fail.
+const (
+	// failingWeight is the part of one call in the share.
+	failingWeight = 1.0 / 16
+	// failingHalf is the time in which the share halves without calls, so that an
+	// upstream that others avoid is tried again.
+	failingHalf = 3 * time.Second
+)
+
+// failingAt is the share of failed calls at a time; mu is held.
+func (u *usage) failingAt(now time.Time) float64 {
+	return u.failing * math.Exp2(-now.Sub(u.failedAt).Seconds()/failingHalf.Seconds())
+}
+
+// ended is how a call at the upstream ended.
+type ended int
+
+const (
+	// endedWell is an answer that is no failure of the upstream.
+	endedWell ended = iota
+	// endedBadly is a rejection, a failure or no answer.
+	endedBadly
+	// endedEarly tells nothing: the caller gave up.
+	endedEarly
+)
+
 // runningCall is a call that the upstream runs.
 type runningCall struct {
 	class string
@@ -79,25 +108,39 @@
 	u.running[c] = runningCall{class, now}
 }
 
-// end takes the duration of a call. counts is false for one that tells nothing of
-// the upstream's speed: it was rejected, or its caller gave up.
-func (u *usage) end(c *call, counts bool, now time.Time) {
+// end takes how a call ended and how long it took. Only answers tell of the
+// upstream's speed: a failure may come at once.
+func (u *usage) end(c *call, how ended, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	r, ok := u.running[c]
 	delete(u.running, c)
-	if !ok || !counts {
+	if !ok || how == endedEarly {
 		return
 	}
-	d := u.classes[r.class]
+	bad := 0.0
+	if how == endedBadly {
+		bad = 1
+	}
+	u.failing = u.failingAt(now)
+	u.failing += failingWeight * (bad - u.failing)
+	u.failedAt = now
+	if how == endedWell {
+		u.took(r.class, now.Sub(r.at).Seconds(), now)
+	}
+}
+
+// took enters the duration of an answered call; mu is held.
+func (u *usage) took(class string, seconds float64, now time.Time) {
+	d := u.classes[class]
 	if d == nil {
 		if len(u.classes) >= maxClasses {
 			clear(u.classes)
 		}
 		d = &durations{}
-		u.classes[r.class] = d
+		u.classes[class] = d
 	}
-	d.take(now.Sub(r.at).Seconds())
+	d.take(seconds)
 	d.last = now
 }
 
@@ -108,7 +151,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.advance(now)
-	r := &peerapi.LoadReport{Load: int(100 * u.mean / float64(max(slots, 1))), Durations: map[string]int{}}
+	r := &peerapi.LoadReport{
+		Load: int(100 * u.mean / float64(max(slots, 1))), Failing: int(100 * u.failingAt(now)), Durations: map[string]int{},
+	}
 	late := map[string]durations{}
 	for _, c := range u.running {
 		d := u.classes[c.class]
--- a/plugin/inbound/usage_test.go
+++ b/plugin/inbound/usage_test.go
@@ -32,7 +32,7 @@
 		c := &call{}
 		u.begin(c, "0/500", now)
 		now = now.Add(100 * time.Millisecond)
-		u.end(c, true, now)
+		u.end(c, endedWell, now)
 	}
 	if got := u.report(9, now).Durations["0/500"]; got != 100 {
 		t.Fatalf("duration %d ms, want 100", got)
@@ -51,8 +51,31 @@
 	var u usage
 	c := &call{}
 	u.begin(c, "0/500", usageStart)
-	u.end(c, false, usageStart.Add(time.Millisecond))
+	u.end(c, endedEarly, usageStart.Add(time.Millisecond))
 	if r := u.report(9, usageStart); len(r.Durations) != 0 {
 		t.Errorf("durations %v", r.Durations)
 	}
 }
+
+// Guards against an upstream that fails its calls and passes for a fast one, and against
+// one that is avoided for ever since it failed once.
+func TestUsageReportsFailures(t *testing.T) {
+	var u usage
+	now := usageStart
+	for i := range 100 {
+		c := &call{}
+		u.begin(c, "0/500", now)
+		how := endedWell
+		if i%2 == 0 {
+			how = endedBadly
+		}
+		now = now.Add(time.Millisecond)
+		u.end(c, how, now)
+	}
+	if got := u.report(9, now).Failing; got < 40 || got > 60 {
+		t.Errorf("%d hundredths of the calls fail, want about 50", got)
+	}
+	if got := u.report(9, now.Add(5*failingHalf)).Failing; got > 3 {
+		t.Errorf("%d hundredths after a time without calls", got)
+	}
+}
--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -42,7 +42,7 @@
 	slowLeast, slowMost = 0.4, 8
 	// wholeSet is the number of endpoints up to which all are compared; in larger
 	// sets two drawn at random are.
-	wholeSet = 8
+	wholeSet = 24
 	// busyLoad is the load assumed of an endpoint that has just rejected a call.
 	busyLoad = 2
 	// fullLocal and fullRemote are the pauses after a rejection for lack of room, in
@@ -90,7 +90,9 @@
 	// slowness is the same as the node beside it reports it, without the time in
 	// queues and on the way, as of reported.
 	slowness float64
-	reported time.Time
+	// reportedFailing is the share of the calls of all nodes that fail, beyond the usual.
+	reportedFailing float64
+	reported        time.Time
 	// failing is the smoothed share of calls that failed.
 	failing   float64
 	failures  int
@@ -206,7 +208,7 @@
 	busy := e.busy(now)
 	v := 1 + busyIdle*busy + busyWait*max(busy-busyFrom, 0)
 	v *= e.slowFactor(now)
-	return v/e.weight(now, slow)*(1+failureWeight*e.failing) + float64(e.failures)
+	return v/e.weight(now, slow)*(1+failureWeight*e.failingShare(now)) + float64(e.failures)
 }
 
 // slowFactor is the expected duration of a call relative to that at other endpoints.
@@ -224,6 +226,14 @@
 	return min(max(own, slowLeast), slowMost)
 }
 
+// failingShare is the share of calls that are expected to fail.
+func (e *endpoint) failingShare(now time.Time) float64 {
+	if now.Sub(e.reported) < reportTrust {
+		return max(e.failing, e.reportedFailing)
+	}
+	return e.failing
+}
+
 // avoided reports whether the endpoint is ejected or said that it leaves.
 func (e *endpoint) avoided(now time.Time) bool {
 	return now.Before(e.ejected) || now.Before(e.leaving)
--- a/plugin/outbound/capacity.go
+++ b/plugin/outbound/capacity.go
@@ -55,7 +55,7 @@
 
 // learn takes the report of the node beside the endpoint.
 func (e *endpoint) learn(l peerapi.EndpointLoad, now time.Time) {
-	e.slowness, e.reported = l.Slowness, now
+	e.slowness, e.reportedFailing, e.reported = l.Slowness, l.Failing, now
 	if now.Sub(e.loadAt) > loadFresh {
 		e.load, e.loadAt = l.Load, now
 	}
--- a/plugin/outbound/capacity_test.go
+++ b/plugin/outbound/capacity_test.go
@@ -17,14 +17,13 @@
 	snapshot := &resource.Snapshot{Sets: map[string]*resource.EndpointSet{"svc": from}}
 	tb := newTable("z1", func() *resource.Snapshot { return snapshot }, rand.New(rand.NewPCG(3, 3)))
 	s := tb.set("svc", start)
-	entries := make([]byte, 0, 2*n)
+	var entries []byte
 	for i := range n {
 		l := peerapi.EndpointLoad{Slowness: 1, Load: 0.4}
 		if i%3 == 0 {
 			l.Slowness = 2
 		}
-		slow, load := peerapi.EncodeLoad(l)
-		entries = append(entries, slow, load)
+		entries = peerapi.AppendLoad(entries, l)
 	}
 	tb.learn([]peerapi.ServiceLoads{{Service: "svc", Digest: peerapi.Digest(from), Entries: entries}}, start)
 	return tb, s
@@ -62,10 +61,13 @@
 func TestReportsOfAnotherSetAreIgnored(t *testing.T) {
 	tb, s := learned(t, 3)
 	other := endpoints(4, nil)
-	slow, load := peerapi.EncodeLoad(peerapi.EndpointLoad{Slowness: 5, Load: 3})
+	var entries []byte
+	for range 4 {
+		entries = peerapi.AppendLoad(entries, peerapi.EndpointLoad{Slowness: 5, Load: 3})
+	}
 	tb.learn([]peerapi.ServiceLoads{
-		{Service: "svc", Digest: peerapi.Digest(other), Entries: []byte{slow, load, slow, load, slow, load, slow, load}},
-		{Service: "unknown", Entries: []byte{slow, load}},
+		{Service: "svc", Digest: peerapi.Digest(other), Entries: entries},
+		{Service: "unknown", Entries: entries},
 	}, start.Add(time.Second))
 	if s.list[1].slowness != 1 {
 		t.Errorf("slowness %v, want that of the set held", s.list[1].slowness)
@@ -138,3 +140,21 @@
 		t.Error("a call with time to wait leaves its zone")
 	}
 }
+
+// Guards against an endpoint that fails the calls of all nodes while each node alone
+// sees too few failures to avoid it.
+func TestReportedFailuresDecideBeforeOwnOnes(t *testing.T) {
+	tb, s := learned(t, 48)
+	s.list[1].learn(peerapi.EndpointLoad{Slowness: 0.4, Load: 0, Failing: 1}, start)
+	taken := 0
+	for range 1000 {
+		e, _ := tb.pick(&resource.Cluster{Service: "svc"}, wish{spillAt: fullZone}, start)
+		if e == s.list[1] {
+			taken++
+		}
+		e.inflight--
+	}
+	if taken > 10 {
+		t.Errorf("the failing endpoint got %d of 1000 calls", taken)
+	}
+}
