--- a/plugin/announce/report.go
+++ b/plugin/announce/report.go
@@ -170,5 +170,13 @@
 }
 
 // Drain implements kernel.Drainer: the planned stop begins while the process
-// still serves its callers.
-func (a *Announce) Drain() { a.Leave(func() {}) }
+// still serves its callers, which need some time to move away. Until LeaveDelay has
+// passed, the upstream takes calls of other nodes; a stop that is due earlier does not
+// wait for that.
+func (a *Announce) Drain() {
+	if a.s.LeaveDelay <= 0 || a.Closed() {
+		a.Leave(func() {})
+		return
+	}
+	a.c.After(a.s.LeaveDelay.D(), jobKey, func() { a.Leave(func() {}) })
+}
--- a/plugin/announce/setup.go
+++ b/plugin/announce/setup.go
@@ -77,6 +77,10 @@
 	// ReportTimeout is the silence after which an upstream that reports itself is
 	// taken out of the endpoints; 0 for upstreams that do not.
 	ReportTimeout settings.Duration `json:"report_timeout"`
+	// LeaveDelay is the time for which the upstream of a node that stops still takes
+	// new calls, while the node's own callers move away. It must end so early that the
+	// calls in flight end before the process does.
+	LeaveDelay settings.Duration `json:"leave_delay"`
 	// Linger is the time in which calls on their way still arrive after the
 	// upstream was announced as draining.
 	Linger settings.Duration `json:"linger"`
@@ -106,6 +110,8 @@
 		return settings.Invalid("probe_interval", "probe_interval and probe_timeout must be positive")
 	case s.Rise < 1 || s.Fall < 1:
 		return settings.Invalid("rise", "rise and fall must be at least 1")
+	case s.LeaveDelay < 0 || s.Linger < 0:
+		return settings.Invalid("leave_delay", "leave_delay and linger must not be negative")
 	case s.CallTimeout <= 0 || s.RetryInterval <= 0:
 		return settings.Invalid("call_timeout", "call_timeout and retry_interval must be positive")
 	}
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -217,10 +217,12 @@
 	key     string
 	members []peer.Member
 	nodes   int
+	// leaveDelay is the setting announce/leave_delay of nodes.
+	leaveDelay string
 }
 
 func newFleet(t testing.TB, zones ...string) *fleet {
-	f := &fleet{t: t, key: kerneltest.KeyFile(t)}
+	f := &fleet{t: t, key: kerneltest.KeyFile(t), leaveDelay: "0s"}
 	for i, z := range zones {
 		f.members = append(f.members, peer.Member{Name: fmt.Sprintf("control-%d", i), Address: kerneltest.FreeAddress(t), AvailabilityZone: z})
 	}
@@ -283,7 +285,7 @@
 	f.nodes++
 	up := ""
 	if service != "" {
-		up = fmt.Sprintf(`, "announce": {"address": "127.0.0.1:%d", "linger": "50ms", "upstream": {"service": %q, "address": "127.0.0.1:9", "slots": 9}}`, 20000+f.nodes, service)
+		up = fmt.Sprintf(`, "announce": {"address": "127.0.0.1:%d", "linger": "50ms", "leave_delay": %q, "upstream": {"service": %q, "address": "127.0.0.1:9", "slots": 9}}`, 20000+f.nodes, f.leaveDelay, service)
 	}
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "region": "cantabrico", "fleet_key_file": %q, "workers": 1, "queue_jobs": 256, "seed": %d},
 		"peer": {"instances": %s}, "session": {"services": %s%s}%s}`, name, zone, f.key, 100+f.nodes, f.instances(), services, extra, up)
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -358,3 +358,30 @@
 		t.Fatalf("the instance is isolated after %v", d)
 	}
 }
+
+// Guards against a node whose upstream is out of use from the moment on at which the
+// node is asked to stop, although it serves its own callers for some seconds more.
+func TestStoppingNodeTakesCallsUntilItsCallersHaveLeft(t *testing.T) {
+	f := newFleet(t, "cant-a")
+	f.leaveDelay = "600ms"
+	a := f.control(0, "")
+	a.catalog.put("lectura", "catalogo", 1000)
+	n := f.node("n1", "cant-a", "catalogo", all, "")
+	state := func() resource.EndpointState {
+		if set := a.discovery.Set("catalogo"); len(set.Endpoints) == 1 {
+			return set.Endpoints[0].State
+		}
+		return ""
+	}
+	kerneltest.Wait(t, within, "ready endpoint", func() bool { return state() == resource.StateReady })
+	begin := time.Now()
+	n.announce.Drain()
+	time.Sleep(200 * time.Millisecond)
+	if s := state(); s != resource.StateReady && time.Since(begin) < 500*time.Millisecond {
+		t.Fatalf("the endpoint is %q at once", s)
+	}
+	kerneltest.Wait(t, within, "withdrawn endpoint", func() bool { return state() != resource.StateReady })
+	if d := time.Since(begin); d < 600*time.Millisecond {
+		t.Fatalf("the endpoint left after %v", d)
+	}
+}
