outbound: endpoints of large sets are drawn by weight

The reports are a second old, the calls take a third of that. Change: an endpoint of a large set is drawn by its speed, steeply while the set is idle, and only little by its load. A zone sends the part of its calls away that it has too much, by the mean loads of the zones; small sets are compared as before.

--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -40,9 +40,9 @@
 	failureWeight = 8
 	// slowLeast and slowMost bound the effect of an endpoint's relative duration.
 	slowLeast, slowMost = 0.4, 8
-	// wholeSet is the number of endpoints up to which all are compared; in larger
-	// sets two drawn at random are.
-	wholeSet = 24
+	// wholeSet is the number of endpoints up to which all are compared; from larger
+	// sets one is drawn by weight.
+	wholeSet = 8
 	// busyLoad is the load assumed of an endpoint that has just rejected a call.
 	busyLoad = 2
 	// fullLocal and fullRemote are the pauses after a rejection for lack of room, in
@@ -90,12 +90,16 @@
 	// slowness is the same as the node beside it reports it, without the time in
 	// queues and on the way, as of reported.
 	slowness float64
+	// reportedLoad is the mean load of the last second.
+	reportedLoad float64
 	// reportedFailing is the share of the calls of all nodes that fail, beyond the usual.
 	reportedFailing float64
 	reported        time.Time
 	// failing is the smoothed share of calls that failed.
-	failing   float64
-	failures  int
+	failing  float64
+	failures int
+	// share is scratch space of drawn.
+	share     float64
 	ejections int
 	ejected   time.Time // until when
 	leaving   time.Time // until when
@@ -151,6 +155,8 @@
 	digest uint64
 	// called is when the last call was sent to the service.
 	called time.Time
+	// zones is what the fleet reports of the load of the zones.
+	zones zoneLoads
 	// local and remote are scratch space of pick.
 	local, remote []*endpoint
 }
@@ -245,12 +251,11 @@
 	priority     int
 	// tried lists endpoints that are not to be taken again.
 	tried []*endpoint
-	// spillAt is the load of the own zone from which the call leaves the zone, and
-	// spillAfter the expected duration there from which it does; 0 for none.
-	spillAt    float64
-	spillAfter time.Duration
-	// base is the duration of such calls at a score of 1; 0 when it is unknown.
-	base time.Duration
+	// spillAt is the load of the own zone from which the call leaves the zone.
+	spillAt float64
+	// bytes is the number of bytes of such a call for its duration, relative to other
+	// calls; 0 when it is unknown.
+	bytes float64
 	// slow is the slow start of the cluster.
 	slow time.Duration
 }
@@ -288,39 +293,31 @@
 		}
 		return r
 	}
-	score := l.score(now, w.slow)
-	if (l.busy(now) > w.spillAt || w.late(score)) && score > zoneFactor*r.score(now, w.slow) {
+	if len(s.local) > wholeSet {
+		if s.leaves(now, w.bytes, intn) {
+			return r
+		}
+		return l
+	}
+	if l.busy(now) > w.spillAt && l.score(now, w.slow) > zoneFactor*r.score(now, w.slow) {
 		return r
 	}
 	return l
 }
 
-// late reports whether a call at an endpoint of the own zone with the score is likely
-// to take longer than it should.
-func (w *wish) late(score float64) bool {
-	return w.spillAfter > 0 && time.Duration(float64(w.base)*score) > w.spillAfter
-}
-
-// better is the least busy endpoint of a small list, and the less busy one of two
-// that are drawn at random from a large one: with many nodes, all of them would
-// otherwise choose the same endpoint until its load is reported.
+// better is the endpoint with the least score of a small list, and one drawn by weight
+// from a large one: all nodes know much the same of the endpoints, and with many nodes
+// the one that looks best would get the calls of all until that shows in its load.
 func better(list []*endpoint, now time.Time, slow time.Duration, intn func(int) int) *endpoint {
 	if len(list) == 0 {
 		return nil
 	}
+	if len(list) > wholeSet {
+		return drawn(list, now, slow, intn)
+	}
 	if e := list[intn(len(list))]; e.busy(now) < busyFrom && intn(exploreShare) == 0 {
 		return e
 	}
-	if len(list) > wholeSet {
-		i, j := intn(len(list)), intn(len(list)-1)
-		if j >= i {
-			j++
-		}
-		if list[j].score(now, slow) < list[i].score(now, slow) {
-			i = j
-		}
-		return list[i]
-	}
 	first := intn(len(list)) // equal scores are taken in turn
 	best, least := list[first], list[first].score(now, slow)
 	for i := 1; i < len(list); i++ {
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -180,7 +180,7 @@
 // pick chooses among all endpoints that were not tried.
 func (c *call) pick(tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
 	w := wish{organisation: c.route.Organisation, priority: c.route.Priority, tried: tried}
-	c.o.classes.spill(&w, c.route.Name, c.route.Target())
+	c.o.classes.spill(&w, c.route.Name)
 	return c.o.table.pick(c.cluster, w, now)
 }
 
@@ -219,7 +219,6 @@
 	c.call.Patience = c.patience()
 	c.last = to.Node
 	sent := time.Now()
-	score := c.o.table.score(e, sent)
 	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
@@ -240,7 +239,7 @@
 		c.o.table.loaded(e, load, time.Now())
 	}
 	if x.Response.StatusCode < http.StatusInternalServerError {
-		relative := c.o.classes.observe(c.route.Name, time.Since(sent), c.bytes(x.Response), score)
+		relative := c.o.classes.observe(c.route.Name, time.Since(sent), c.bytes(x.Response))
 		c.o.table.took(e, relative)
 	}
 	if c.forward(x) {
--- a/plugin/outbound/capacity.go
+++ b/plugin/outbound/capacity.go
@@ -50,12 +50,13 @@
 				e.learn(l, now)
 			}
 		}
+		s.observe(now)
 	}
 }
 
 // learn takes the report of the node beside the endpoint.
 func (e *endpoint) learn(l peerapi.EndpointLoad, now time.Time) {
-	e.slowness, e.reportedFailing, e.reported = l.Slowness, l.Failing, now
+	e.slowness, e.reportedLoad, e.reportedFailing, e.reported = l.Slowness, l.Load, l.Failing, now
 	if now.Sub(e.loadAt) > loadFresh {
 		e.load, e.loadAt = l.Load, now
 	}
--- a/plugin/outbound/classes.go
+++ b/plugin/outbound/classes.go
@@ -16,8 +16,6 @@
 type usage struct {
 	// seconds is the duration, bytes the length of request and answer.
 	seconds, bytes float64
-	// base is the duration at an endpoint with a score of 1.
-	base float64
 }
 
 // classes holds the need of the calls of each route, against which the durations
@@ -30,10 +28,10 @@
 
 // observe takes an answered call and returns its duration relative to the usual
 // one of its route.
-func (c *classes) observe(route string, took time.Duration, bytes int64, score float64) float64 {
+func (c *classes) observe(route string, took time.Duration, bytes int64) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := usage{seconds: took.Seconds(), bytes: float64(bytes), base: took.Seconds() / max(score, leastScore)}
+	now := usage{seconds: took.Seconds(), bytes: float64(bytes)}
 	for _, name := range [...]string{route, allRoutes} {
 		mean, known := c.means[name]
 		if !known {
@@ -46,7 +44,6 @@
 		c.means[name] = usage{
 			seconds: mean.seconds + classWeight*(now.seconds-mean.seconds),
 			bytes:   mean.bytes + classWeight*(now.bytes-mean.bytes),
-			base:    mean.base + classWeight*(now.base-mean.base),
 		}
 	}
 	mean := c.means[route].seconds
@@ -56,9 +53,6 @@
 	return now.seconds / mean
 }
 
-// leastScore bounds the score by which a duration is divided.
-const leastScore = 0.1
-
 // allRoutes is the entry of the calls of all routes.
 const allRoutes = ""
 
@@ -77,14 +71,9 @@
 	spillUsual = 1.9
 )
 
-// spillShare is the part of the target that a call with the usual number of bytes may
-// be expected to take in the own zone. Durations scatter by about half of their mean,
-// so that beyond it many calls would miss the target.
-const spillShare = 0.6
-
 // spill states in w when a call of the route leaves the zone. Bytes between zones are
 // dear, so the calls that free most of a slot's time for each byte leave first.
-func (c *classes) spill(w *wish, route string, target time.Duration) {
+func (c *classes) spill(w *wish, route string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w.spillAt = spillUsual
@@ -92,14 +81,6 @@
 	if r.seconds <= 0 || all.bytes <= 0 || all.seconds <= 0 {
 		return
 	}
-	factor := math.Sqrt((r.bytes / r.seconds) / (all.bytes / all.seconds))
-	w.spillAt = min(max(spillUsual*factor, spillLeast), spillMost)
-	w.base = time.Duration(r.base * float64(time.Second))
-	w.spillAfter = time.Duration(spillShare * min(max(factor, spillFactorLeast), spillFactorMost) * float64(target))
+	w.bytes = (r.bytes / r.seconds) / (all.bytes / all.seconds)
+	w.spillAt = min(max(spillUsual*math.Sqrt(w.bytes), spillLeast), spillMost)
 }
-
-// Bounds of the effect of a call's bytes on the duration after which it leaves.
-const (
-	spillFactorLeast = 0.8
-	spillFactorMost  = 1.3
-)
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -180,19 +180,10 @@
 	e.load, e.loadAt = load, now
 }
 
-// score is the expected duration of a call that was just counted as in flight,
-// relative to that at an idle endpoint of the usual speed.
-func (t *table) score(e *endpoint, now time.Time) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e.inflight--
-	defer func() { e.inflight++ }()
-	return e.score(now, 0)
-}
-
-// remoteRoom is the load up to which an endpoint of another zone is asked for a slot
-// once the own zone has none. Its bytes between zones are spent in vain on a busy one.
-const remoteRoom = 0.9
+// remoteRoom is the mean load of the other zones up to which one of their endpoints is
+// asked for a slot once the own zone has none. Above it, the bytes between zones would
+// often be spent in vain.
+const remoteRoom = 0.75
 
 // remote returns an endpoint of another zone that is likely to have a free slot,
 // counted as in flight; nil when there is none.
@@ -200,10 +191,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.set(c.Service, now)
+	if now.Sub(s.zones.at) >= loadTrust || s.zones.remote > remoteRoom {
+		return nil, httpcall.Target{}
+	}
 	s.remote = s.remote[:0]
 	for _, e := range s.list {
 		if e.AvailabilityZone != t.zone && e.State == resource.StateReady && !e.Stale && !e.avoided(now) &&
-			e.busy(now) < remoteRoom && !contains(tried, e) {
+			!contains(tried, e) {
 			s.remote = append(s.remote, e)
 		}
 	}
