--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -88,8 +88,7 @@
 // busy endpoint that it has asked.
 const (
 	stageFirst  = iota
-	stageSecond // another endpoint by the usual choice
-	stageRemote // one of another zone, if one is likely to have a free slot
+	stageSecond
 	stageWait
 	stageAny
 )
@@ -156,16 +155,10 @@
 		return c.holder()
 	}
 	now := time.Now()
-	if c.stage < stageRemote {
+	if c.stage < stageWait {
 		if e, to := c.pick(tried, now); e != nil {
 			return e, to
 		}
-		c.stage = stageRemote
-	}
-	if c.stage == stageRemote {
-		if e, to := c.o.table.remote(c.cluster, tried, now); e != nil {
-			return e, to
-		}
 		c.stage = stageWait
 	}
 	if c.stage == stageWait {
--- a/plugin/outbound/retry.go
+++ b/plugin/outbound/retry.go
@@ -8,7 +8,7 @@
 )
 
 // maxOffers bounds the dispatches of one call that no upstream has received.
-const maxOffers = 5
+const maxOffers = 4
 
 // arrived reports whether the failed dispatch may have reached an upstream. Such
 // dispatches are bounded by the route and draw on the retry budget.
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -180,30 +180,6 @@
 	e.load, e.loadAt = load, now
 }
 
-// remoteRoom is the mean load of the other zones up to which one of their endpoints is
-// asked for a slot once the own zone has none. Above it, the bytes between zones would
-// often be spent in vain.
-const remoteRoom = 0.75
-
-// remote returns an endpoint of another zone that is likely to have a free slot,
-// counted as in flight; nil when there is none.
-func (t *table) remote(c *resource.Cluster, tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.set(c.Service, now)
-	if now.Sub(s.zones.at) >= loadTrust || s.zones.remote > remoteRoom {
-		return nil, httpcall.Target{}
-	}
-	s.remote = s.remote[:0]
-	for _, e := range s.list {
-		if e.AvailabilityZone != t.zone && e.State == resource.StateReady && !e.Stale && !e.avoided(now) &&
-			!contains(tried, e) {
-			s.remote = append(s.remote, e)
-		}
-	}
-	return t.chosen(better(s.remote, now, 0, t.rng.IntN))
-}
-
 // leastLoaded returns the endpoint with the least expected duration among those that
 // had no free slot, counted as in flight; nil when none of them can take the call.
 func (t *table) leastLoaded(busy []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
