--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -87,7 +87,7 @@
 // does not wait at one endpoint while another one is idle. Then it waits at the least
 // busy endpoint that it has asked.
 const (
-	stageFirst  = iota
+	stageFirst = iota
 	stageSecond
 	stageWait
 	stageAny
