--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -256,6 +256,8 @@
 	// bytes is the number of bytes of such a call for its duration, relative to other
 	// calls; 0 when it is unknown.
 	bytes float64
+	// local leaves endpoints of other zones out.
+	local bool
 	// slow is the slow start of the cluster.
 	slow time.Duration
 }
@@ -273,7 +275,7 @@
 			}
 			if e.AvailabilityZone == s.zone {
 				s.local = append(s.local, e)
-			} else {
+			} else if !w.local {
 				s.remote = append(s.remote, e)
 			}
 		}
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -173,6 +173,9 @@
 // pick chooses among all endpoints that were not tried.
 func (c *call) pick(tried []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
 	w := wish{organisation: c.route.Organisation, priority: c.route.Priority, tried: tried}
+	// A call that found an endpoint of its zone busy asks another one there or waits; it
+	// leaves the zone by the load of the zones, not by that of one endpoint.
+	w.local = c.stage == stageSecond && c.o.table.local(c.busy[0])
 	c.o.classes.spill(&w, c.route.Name)
 	return c.o.table.pick(c.cluster, w, now)
 }
--- a/plugin/outbound/capacity_test.go
+++ b/plugin/outbound/capacity_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/resource"
 )
@@ -179,3 +180,25 @@
 		t.Errorf("the failing endpoint got %d of 1000 calls", taken)
 	}
 }
+
+// Guards against calls that pay for bytes between zones since one endpoint of their
+// zone has no free slot for a moment.
+func TestSecondOfferStaysInTheZone(t *testing.T) {
+	from := endpoints(4, func(i int, e *resource.Endpoint) { e.AvailabilityZone = []string{"z1", "z2"}[i/2] })
+	snapshot := &resource.Snapshot{Sets: map[string]*resource.EndpointSet{"svc": from}}
+	tb := newTable("z1", func() *resource.Snapshot { return snapshot }, rand.New(rand.NewPCG(3, 3)))
+	c := &call{
+		o: &Outbound{table: tb, s: &Settings{WaitShare: 0.5}}, route: &resource.Route{TargetMillis: 600, TimeoutMillis: 2000},
+		cluster: &resource.Cluster{Service: "svc"}, begin: time.Now(), deadline: time.Now().Add(2 * time.Second),
+	}
+	busy := &httpcall.Failure{Reason: httpcall.ReasonWait, HasLoad: true, Load: 1.5}
+	var tried []*endpoint
+	for _, zone := range []string{"z1", "z1", "z1", "z2"} {
+		e, _ := c.choose(tried)
+		if e == nil || e.AvailabilityZone != zone {
+			t.Fatalf("after %d offers the call is offered to %+v, want zone %s", len(tried), e, zone)
+		}
+		c.noRoom(e, busy)
+		tried = append(tried, e)
+	}
+}
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -180,6 +180,13 @@
 	e.load, e.loadAt = load, now
 }
 
+// local reports whether the endpoint is in the zone of this node.
+func (t *table) local(e *endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return e.AvailabilityZone == t.zone
+}
+
 // leastLoaded returns the endpoint with the least expected duration among those that
 // had no free slot, counted as in flight; nil when none of them can take the call.
 func (t *table) leastLoaded(busy []*endpoint, now time.Time) (*endpoint, httpcall.Target) {
