catalog: a patch of the configuration costs what it changes

Cause: each change of a route expands, sorts and compares all of them. Change: a patch names what it adds and removes; only that is validated, expanded and compared. The result is that of the whole configuration.

--- a/core/resource/configuration.go
+++ b/core/resource/configuration.go
@@ -104,13 +104,12 @@
 	places := make(map[string]bool, len(c.Routes))
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		field := fmt.Sprintf("routes/%d", i)
-		if err := r.validate(field, services); err != nil {
-			return err
+		if err := r.validate("", services); err != nil {
+			return r.validate(fmt.Sprintf("routes/%d", i), services)
 		}
 		place := r.place()
 		if places[place] {
-			return invalid(field, "host %q and prefix %q belong to another route", clip(r.Host), clip(r.PathPrefix))
+			return errPlace(fmt.Sprintf("routes/%d", i), r)
 		}
 		places[place] = true
 	}
@@ -148,9 +147,19 @@
 	return nil
 }
 
+// errPlace reports a route whose requests belong to another one.
+func errPlace(field string, r *ConfiguredRoute) error {
+	return invalid(field, "host %q and prefix %q belong to another route", clip(r.Host), clip(r.PathPrefix))
+}
+
 // place identifies the requests that a route takes.
 func (r *ConfiguredRoute) place() string { return strings.ToLower(r.Host) + r.PathPrefix }
 
+// Key names the route that Expand makes of it.
+func (r *ConfiguredRoute) Key() Key {
+	return Key{Kind: KindRoute, Name: ConfigurationTeam + "/" + r.place()}
+}
+
 // Expand returns the routes and clusters that nodes hold. The configuration is
 // valid. The result depends on nothing else.
 func (c *Configuration) Expand() *Expansion {
@@ -163,16 +172,17 @@
 		})
 	}
 	for i := range c.Routes {
-		out.Routes = append(out.Routes, c.Routes[i].expand())
+		out.Routes = append(out.Routes, c.Routes[i].Expand())
 	}
 	sort.Slice(out.Routes, func(i, j int) bool { return out.Routes[i].Name < out.Routes[j].Name })
 	sort.Slice(out.Clusters, func(i, j int) bool { return out.Clusters[i].Name < out.Clusters[j].Name })
 	return out
 }
 
-func (r *ConfiguredRoute) expand() *Route {
+// Expand returns the route that nodes hold.
+func (r *ConfiguredRoute) Expand() *Route {
 	x := &Route{
-		Name: ConfigurationTeam + "/" + r.place(), Organisation: ConfigurationTeam, Team: ConfigurationTeam,
+		Name: r.Key().Name, Organisation: ConfigurationTeam, Team: ConfigurationTeam,
 		Match:         Match{Host: strings.ToLower(r.Host), PathPrefix: r.PathPrefix},
 		TimeoutMillis: r.TimeoutMillis, TargetMillis: r.TargetMillis, Priority: r.Priority,
 		MaxAttempts: max(r.MaxAttempts, 1), Idempotent: r.Idempotent, AtMostOnce: !r.Idempotent,
--- a/core/resource/configuration_test.go
+++ b/core/resource/configuration_test.go
@@ -49,7 +49,7 @@
 			return false
 		}
 		got, err := p.Apply(base)
-		return err == nil && reflect.DeepEqual(got, next)
+		return err == nil && reflect.DeepEqual(got.Next, next)
 	}, gen.SliceOfN(12, gen.IntRange(0, 2)), gen.SliceOfN(12, gen.IntRange(0, 2)), gen.Bool(), gen.Bool()))
 	props.TestingRun(t)
 }
@@ -63,6 +63,10 @@
 		{Number: 5, Base: 3, Routes: []RouteRun{{From: -1, Count: 1}}},
 		{Number: 5, Base: 3, Routes: []RouteRun{{From: 0, Count: 1}, {From: 0, Count: 1}}}, // the same place twice
 		{Number: 3, Base: 3},
+		{Number: 5, Base: 3, Routes: []RouteRun{{From: 0, Count: 1}, {New: []ConfiguredRoute{base.Routes[0]}}}},        // a kept place
+		{Number: 5, Base: 3, Routes: []RouteRun{{New: []ConfiguredRoute{base.Routes[0], base.Routes[0]}}}},             // the same place twice
+		{Number: 5, Base: 3, Routes: []RouteRun{{New: []ConfiguredRoute{{Host: "h", PathPrefix: "/", Service: "a"}}}}}, // no timeout
+		{Number: 5, Base: 3, Services: &[]ConfiguredService{{Name: "other"}}, Routes: []RouteRun{{From: 0, Count: 2}}}, // kept routes name no service
 	} {
 		if _, err := p.Apply(base); err == nil {
 			t.Errorf("patch %+v was applied", p)
@@ -106,13 +110,16 @@
 	f.Add([]byte(`{"number":1,"base":0,"routes":[{"name":"r","host":"h","path_prefix":"/","timeout_ms":1,"service":"a"}],"services":[{"name":"a"}]}`))
 	f.Add([]byte(`{"number":5,"base":3,"routes":[{"f":0,"n":1},{"r":[]}]}`))
 	base := configuration(3, 2, []int{1, 1})
-	f.Fuzz(func(_ *testing.T, body []byte) {
+	f.Fuzz(func(t *testing.T, body []byte) {
 		if c, err := DecodeConfiguration(body); err == nil {
 			c.Expand()
 		}
 		if p, err := DecodePatch(body); err == nil {
-			if c, err := p.Apply(base); err == nil {
-				c.Expand()
+			if s, err := p.Apply(base); err == nil {
+				if err := s.Next.Validate(); err != nil {
+					t.Fatalf("the result of a patch is not valid: %v", err)
+				}
+				s.Next.Expand()
 			}
 		}
 	})
--- a/core/resource/patch.go
+++ b/core/resource/patch.go
@@ -1,6 +1,7 @@
 package resource
 
 import (
+	"fmt"
 	"reflect"
 	"slices"
 )
@@ -66,30 +67,91 @@
 	p.Routes = append(p.Routes, RouteRun{New: []ConfiguredRoute{r}})
 }
 
-// Apply returns the configuration that the patch makes of base, which stays
-// unchanged. The result is valid; the error is a FieldError.
-func (p *ConfigurationPatch) Apply(base *Configuration) (*Configuration, error) {
+// Step is what a patch makes of a configuration.
+type Step struct {
+	Next *Configuration
+	// Added and Removed are the routes that differ. A route that changes is in both.
+	Added, Removed []ConfiguredRoute
+	// Services tells that services differ, so that all routes may be concerned.
+	Services bool
+}
+
+// Apply returns what the patch makes of base, which is valid and stays unchanged. The
+// result is valid; the error is a FieldError. The work follows from the number of
+// routes that differ, but for copying the others.
+func (p *ConfigurationPatch) Apply(base *Configuration) (*Step, error) {
 	if base.Number != p.Base {
 		return nil, invalid("base", "the patch is for configuration %d, not %d", p.Base, base.Number)
 	}
 	out := &Configuration{Number: p.Number, Base: p.Base, Services: base.Services, Limits: base.Limits}
+	step := &Step{Next: out, Services: p.Services != nil}
+	kept := make([]bool, len(base.Routes))
+	out.Routes = make([]ConfiguredRoute, 0, len(base.Routes)+len(p.Routes))
 	for i, run := range p.Routes {
 		if run.From < 0 || run.Count < 0 || run.From > len(base.Routes) || run.Count > len(base.Routes)-run.From {
 			return nil, invalid("routes", "run %d lies outside the %d routes of the base", i, len(base.Routes))
 		}
+		for j := run.From; j < run.From+run.Count; j++ {
+			if kept[j] {
+				return nil, invalid("routes", "run %d repeats route %d of the base", i, j)
+			}
+			kept[j] = true
+		}
 		out.Routes = append(out.Routes, base.Routes[run.From:run.From+run.Count]...)
 		out.Routes = append(out.Routes, run.New...)
+		step.Added = append(step.Added, run.New...)
 		if len(out.Routes) > maxConfiguredRoutes {
 			return nil, invalid("routes", "more than %d routes", maxConfiguredRoutes)
 		}
 	}
+	for i, k := range kept {
+		if !k {
+			step.Removed = append(step.Removed, base.Routes[i])
+		}
+	}
 	if p.Services != nil {
 		out.Services = *p.Services
 	}
 	if p.Limits != nil {
 		out.Limits = *p.Limits
 	}
-	return out, out.Validate()
+	if step.Services {
+		return step, out.Validate()
+	}
+	return step, step.validate(kept, base)
+}
+
+// validate checks the added routes. The others are valid, since base is and has the
+// same services.
+func (s *Step) validate(kept []bool, base *Configuration) error {
+	c := s.Next
+	if c.Number <= c.Base {
+		return invalid("number", "%d is not above the base %d", c.Number, c.Base)
+	}
+	if len(s.Added) == 0 {
+		return nil
+	}
+	services := make(map[string]bool, len(c.Services))
+	for i := range c.Services {
+		services[c.Services[i].Name] = true
+	}
+	added := make(map[string]bool, len(s.Added))
+	for i := range s.Added {
+		r := &s.Added[i]
+		if err := r.validate(fmt.Sprintf("added/%d", i), services); err != nil {
+			return err
+		}
+		if added[r.place()] {
+			return errPlace(fmt.Sprintf("added/%d", i), r)
+		}
+		added[r.place()] = true
+	}
+	for i := range base.Routes {
+		if kept[i] && added[base.Routes[i].place()] {
+			return errPlace(fmt.Sprintf("routes/%d", i), &base.Routes[i])
+		}
+	}
+	return nil
 }
 
 // maxConfiguredRoutes bounds the result of a patch, whose runs may repeat routes.
--- a/plugin/catalog/configuration.go
+++ b/plugin/catalog/configuration.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,20 +30,25 @@
 // in force, or refuses it. Of two that build on the same one, the first in the log
 // is accepted.
 func (s *state) decideConfiguration(c *change.Change) change.Outcome {
-	next, r := s.nextConfiguration(c)
+	step, r := s.nextConfiguration(c)
 	if r != nil {
 		return s.refuse(c, r)
 	}
 	s.version++
-	touched := s.commitTeam(resource.ConfigurationTeam, newConfigurationTeam(next))
-	s.configuration = &configurationEntry{version: s.version, config: next}
+	var touched []touch
+	if step.Services {
+		touched = s.commitTeam(resource.ConfigurationTeam, newConfigurationTeam(step.Next))
+	} else {
+		touched = s.commitStep(step)
+	}
+	s.configuration = &configurationEntry{version: s.version, config: step.Next}
 	s.history.add(s.version, touched)
-	return change.Outcome{ID: c.ID, State: change.StateAccepted, Version: s.version, Revision: next.Number}
+	return change.Outcome{ID: c.ID, State: change.StateAccepted, Version: s.version, Revision: step.Next.Number}
 }
 
 // nextConfiguration works out the configuration that a change asks for: the whole
 // of it, or a patch of the one in force.
-func (s *state) nextConfiguration(c *change.Change) (*resource.Configuration, *change.Refusal) {
+func (s *state) nextConfiguration(c *change.Change) (*resource.Step, *change.Refusal) {
 	current := s.configurationNumber()
 	if c.Action == change.ActionPut {
 		next, err := resource.DecodeConfiguration(c.Body)
@@ -52,7 +58,7 @@
 		if next.Base != current {
 			return nil, superseded(current, next.Base)
 		}
-		return next, nil
+		return &resource.Step{Next: next, Services: true}, nil
 	}
 	p, err := resource.DecodePatch(c.Body)
 	if err != nil {
@@ -61,11 +67,69 @@
 	if p.Base != current || s.configuration == nil {
 		return nil, superseded(current, p.Base)
 	}
-	next, err := p.Apply(s.configuration.config)
+	step, err := p.Apply(s.configuration.config)
 	if err != nil {
 		return nil, refusal(change.ReasonMalformed, "%v", err)
 	}
-	return next, nil
+	return step, nil
+}
+
+// commitStep replaces the routes of the configuration that differ and returns the
+// keys that changed. Its result is that of commitTeam with the expansion of the whole
+// configuration; with thousands of routes that takes most of a change's time, and a
+// restarted instance applies all changes since its snapshot.
+func (s *state) commitStep(step *resource.Step) []touch {
+	old := s.teams[resource.ConfigurationTeam]
+	touches := map[resource.Key]touch{}
+	for i := range step.Removed {
+		key := step.Removed[i].Key()
+		touches[key] = touch{Key: key, Before: s.service(s.resources[key])}
+	}
+	for i := range step.Added {
+		key := step.Added[i].Key()
+		next := &resource.Resource{Route: step.Added[i].Expand()}
+		t, known := touches[key]
+		if known && equal(s.resources[key], next) {
+			delete(touches, key)
+			continue
+		}
+		t.Key, t.next = key, next
+		touches[key] = t
+	}
+	var touched []touch
+	for _, t := range touches {
+		touched = append(touched, t)
+	}
+	sort.Slice(touched, func(i, j int) bool { return less(touched[i].Key, touched[j].Key) })
+	s.commitTouched(touched)
+	s.teams[resource.ConfigurationTeam] = &teamEntry{
+		Team: old.Team, Revision: uint64(s.version), out: &resource.Expansion{Clusters: old.out.Clusters, Routes: merged(old.out.Routes, touched)},
+	}
+	return touched
+}
+
+// merged returns a list of routes in the order of their names after touches in the
+// same order.
+func merged(routes []*resource.Route, touched []touch) []*resource.Route {
+	out := make([]*resource.Route, 0, len(routes)+len(touched))
+	for _, r := range routes {
+		for len(touched) > 0 && touched[0].Name < r.Name {
+			if touched[0].next != nil {
+				out = append(out, touched[0].next.Route)
+			}
+			touched = touched[1:]
+		}
+		if len(touched) > 0 && touched[0].Name == r.Name {
+			continue // replaced or removed
+		}
+		out = append(out, r)
+	}
+	for _, t := range touched {
+		if t.next != nil {
+			out = append(out, t.next.Route)
+		}
+	}
+	return out
 }
 
 func superseded(current, base uint64) *change.Refusal {
--- a/plugin/catalog/configuration_test.go
+++ b/plugin/catalog/configuration_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
+	"reflect"
 	"testing"
 
 	"github.com/go-json-experiment/json"
@@ -112,3 +114,52 @@
 		t.Fatalf("patch after the restore: %+v", out)
 	}
 }
+
+// Guards against a patch that leaves another state than the whole configuration would:
+// nodes and restarted instances would then hold routes that nobody accepted.
+func TestPatchesLeaveTheStateOfTheWholeConfiguration(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	route := func(i int) resource.ConfiguredRoute {
+		r := resource.ConfiguredRoute{
+			Name: fmt.Sprintf("r%d", i), Host: "h", PathPrefix: fmt.Sprintf("/%d/", i), TimeoutMillis: 1 + rng.IntN(3), Service: []string{"a", "b"}[rng.IntN(2)], MaxAttempts: 1,
+		}
+		if rng.IntN(4) == 0 {
+			r.Service, r.Split = "", []resource.ServiceShare{{Service: "a", Weight: 1}, {Service: "b", Weight: rng.IntN(3)}}
+		}
+		return r
+	}
+	patched, whole := newState(), newState()
+	base := configurationOf(1, 0, "a")
+	for _, s := range []*state{patched, whole} {
+		s.apply(configurationChange(t, "c1", base), 1)
+	}
+	for n := uint64(2); n < 200; n++ {
+		next := *base
+		next.Base, next.Number, next.Routes = base.Number, n, nil
+		for _, r := range base.Routes {
+			if rng.IntN(5) > 0 {
+				next.Routes = append(next.Routes, r)
+			}
+		}
+		taken := map[string]bool{}
+		for _, r := range next.Routes {
+			taken[r.PathPrefix] = true
+		}
+		for range rng.IntN(4) {
+			if r := route(rng.IntN(12)); !taken[r.PathPrefix] {
+				taken[r.PathPrefix] = true
+				next.Routes = append(next.Routes, r)
+			}
+		}
+		rng.Shuffle(len(next.Routes), func(i, j int) { next.Routes[i], next.Routes[j] = next.Routes[j], next.Routes[i] })
+		id := fmt.Sprintf("c%d", n)
+		a, b := patched.apply(patchChange(t, id, base, &next), 1), whole.apply(configurationChange(t, id, &next), 1)
+		if a != b || a.State != change.StateAccepted {
+			t.Fatalf("change %d: %+v by patch, %+v as a whole", n, a, b)
+		}
+		if !reflect.DeepEqual(patched.resources, whole.resources) || !reflect.DeepEqual(patched.teams, whole.teams) || !reflect.DeepEqual(patched.history, whole.history) {
+			t.Fatalf("change %d: the states differ: %d and %d routes", n, len(patched.teams["_configuration"].out.Routes), len(whole.teams["_configuration"].out.Routes))
+		}
+		base = &next
+	}
+}
--- a/plugin/catalog/state.go
+++ b/plugin/catalog/state.go
@@ -186,14 +186,7 @@
 func (s *state) commitTeam(name string, next *teamEntry) []touch {
 	old := s.teams[name]
 	touched := compare(old, next)
-	for _, t := range touched {
-		if t.next == nil {
-			delete(s.resources, t.Key)
-			continue
-		}
-		t.next.Changed = s.version
-		s.resources[t.Key] = t.next
-	}
+	s.commitTouched(touched)
 	if next == nil {
 		delete(s.teams, name)
 		return touched
@@ -205,6 +198,18 @@
 	return touched
 }
 
+// commitTouched replaces resources.
+func (s *state) commitTouched(touched []touch) {
+	for _, t := range touched {
+		if t.next == nil {
+			delete(s.resources, t.Key)
+			continue
+		}
+		t.next.Changed = s.version
+		s.resources[t.Key] = t.next
+	}
+}
+
 // compare returns the resources that differ between two entries of one team,
 // each with the service that it referred to before. A route counts as changed
 // when the service of its cluster changes, because that decides which nodes hold it.
