--- a/core/resource/match.go
+++ b/core/resource/match.go
@@ -1,6 +1,7 @@
 package resource
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"sort"
@@ -27,6 +28,48 @@
 	return t
 }
 
+// with returns the table after some routes were removed and others added. Lists of
+// hosts that are not concerned are shared with t.
+func (t *RouteTable) with(removed, added []*Route) *RouteTable {
+	out := &RouteTable{byHost: maps.Clone(t.byHost)}
+	gone := make(map[*Route]bool, len(removed))
+	more := map[string][]*Route{}
+	for _, r := range removed {
+		gone[r] = true
+		more[strings.ToLower(r.Match.Host)] = nil
+	}
+	for _, r := range added {
+		h := strings.ToLower(r.Match.Host)
+		more[h] = append(more[h], r)
+	}
+	for h, list := range more {
+		if list = mergeRoutes(t.byHost[h], gone, list); len(list) > 0 {
+			out.byHost[h] = list
+		} else {
+			delete(out.byHost, h)
+		}
+	}
+	return out
+}
+
+// mergeRoutes returns an ordered list without the routes that are gone and with more.
+func mergeRoutes(list []*Route, gone map[*Route]bool, more []*Route) []*Route {
+	more = slices.DeleteFunc(more, func(r *Route) bool { return gone[r] }) // replaced by the same delta
+	sort.Slice(more, func(i, j int) bool { return before(more[i], more[j]) })
+	out := make([]*Route, 0, len(list)+len(more))
+	for _, r := range list {
+		if gone[r] {
+			continue
+		}
+		for len(more) > 0 && before(more[0], r) {
+			out = append(out, more[0])
+			more = more[1:]
+		}
+		out = append(out, r)
+	}
+	return append(out, more...)
+}
+
 func before(a, b *Route) bool {
 	if la, lb := len(a.Match.PathPrefix), len(b.Match.PathPrefix); la != lb {
 		return la > lb
--- a/core/resource/snapshot.go
+++ b/core/resource/snapshot.go
@@ -87,10 +87,15 @@
 	return &n, nil
 }
 
+// change enters a delta into the maps, which are not shared.
 func (s *Snapshot) change(d *Delta) {
+	var removed, added []*Route
 	for _, k := range d.Removes {
 		switch k.Kind {
 		case KindRoute:
+			if r := s.Routes[k.Name]; r != nil {
+				removed = append(removed, r)
+			}
 			delete(s.Routes, k.Name)
 		case KindCluster:
 			delete(s.Clusters, k.Name)
@@ -99,38 +104,58 @@
 	for i := range d.Upserts {
 		r := &d.Upserts[i]
 		if r.Route != nil {
+			if old := s.Routes[r.Route.Name]; old != nil {
+				removed = append(removed, old)
+			}
+			added = append(added, r.Route)
 			s.Routes[r.Route.Name] = r.Route
 		}
 		if r.Cluster != nil {
 			s.Clusters[r.Cluster.Name] = r.Cluster
 		}
 	}
-	if d.From == 0 || len(d.Upserts) > 0 || len(d.Removes) > 0 {
+	switch {
+	case d.From == 0:
 		s.Table = NewRouteTable(s.Routes)
+	case len(removed) > 0 || len(added) > 0:
+		s.Table = s.Table.with(removed, added)
 	}
 }
 
 // closed checks the invariant and names the first reference that is not held.
 func (s *Snapshot) closed() error {
-	for _, name := range sortedKeys(s.Routes) {
-		r := s.Routes[name]
+	open := func(r *Route) string {
 		if s.Clusters[r.Cluster] == nil {
-			return errors.Wrapf(ErrOpen, "route %q refers to cluster %q", name, r.Cluster)
+			return r.Cluster
 		}
 		for _, part := range r.Split {
 			if s.Clusters[part.Cluster] == nil {
-				return errors.Wrapf(ErrOpen, "route %q refers to cluster %q", name, part.Cluster)
+				return part.Cluster
 			}
 		}
+		return ""
 	}
-	for _, name := range sortedKeys(s.Clusters) {
-		if c := s.Clusters[name]; s.Sets[c.Service] == nil {
-			return errors.Wrapf(ErrOpen, "cluster %q refers to endpoint set %q", name, c.Service)
-		}
+	if name := firstOf(s.Routes, func(r *Route) bool { return open(r) != "" }); name != "" {
+		return errors.Wrapf(ErrOpen, "route %q refers to cluster %q", name, open(s.Routes[name]))
+	}
+	if name := firstOf(s.Clusters, func(c *Cluster) bool { return s.Sets[c.Service] == nil }); name != "" {
+		return errors.Wrapf(ErrOpen, "cluster %q refers to endpoint set %q", name, s.Clusters[name].Service)
 	}
 	return nil
 }
 
+// firstOf returns the first name of m, in alphabetical order, whose value is bad;
+// empty when there is none. Sorting all names took most of the time of an update.
+func firstOf[V any](m map[string]V, bad func(V) bool) string {
+	first := ""
+	for name, v := range m {
+		if (first == "" || name < first) && bad(v) {
+			first = name
+		}
+	}
+	return first
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
