rpc, quorum: an update is compressed once; restarted voters ask for votes at once

Change: messages to many nodes are encoded and compressed once; a voter's first pre-vote comes after one to three heartbeats.

--- a/core/rpc/conn.go
+++ b/core/rpc/conn.go
@@ -21,10 +21,11 @@
 // use and never wait for the network, Call excepted.
 type Conn struct {
 	// Peer is the instance name of the other side, as proved in the handshake.
-	Peer string
-	id   uint64
-	rpc  *jsonrpc2.Conn
-	done chan struct{}
+	Peer   string
+	id     uint64
+	rpc    *jsonrpc2.Conn
+	stream *stream
+	done   chan struct{}
 	// Bytes counts the traffic of this connection alone.
 	Bytes *Bytes
 	// Remote is the address of the other side.
@@ -42,8 +43,9 @@
 		return nil, err
 	}
 	out := &Conn{Peer: peer, id: lastID.Add(1), Bytes: &Bytes{}, Remote: c.RemoteAddr().String(), done: make(chan struct{})}
+	out.stream = newStream(c, out.Bytes)
 	ready := make(chan struct{})
-	out.rpc = jsonrpc2.NewConn(context.Background(), newStream(c, out.Bytes), handlerFunc(func(r *jsonrpc2.Request) {
+	out.rpc = jsonrpc2.NewConn(context.Background(), out.stream, handlerFunc(func(r *jsonrpc2.Request) {
 		<-ready // out.rpc is set before the first request is handled
 		h(out, newRequest(out, r))
 	}), jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
--- a/core/rpc/frame.go
+++ b/core/rpc/frame.go
@@ -77,7 +77,12 @@
 	if err != nil {
 		return err
 	}
-	err = s.enqueue(frame)
+	return s.push(frame)
+}
+
+// push queues one frame.
+func (s *stream) push(frame []byte) error {
+	err := s.enqueue(frame)
 	if errors.Is(err, ErrSlowPeer) {
 		// The writing goroutine is blocked in the socket; only Close frees it.
 		_ = s.Close()
--- a/core/rpc/rpc_test.go
+++ b/core/rpc/rpc_test.go
@@ -160,3 +160,42 @@
 	t.Cleanup(func() { a.Close(); b.Close() })
 	return a, b
 }
+
+// Guards against an update that is encoded once for many nodes and reaches some of them
+// changed.
+func TestMessageReachesEachConnection(t *testing.T) {
+	key := NewKey([]byte("0123456789abcdef"))
+	m, err := NewMessage("node.update", map[string]string{"name": strings.Repeat("x", 200)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		a, b := tcpPair(t)
+		got := make(chan *Request, 1)
+		go func() {
+			if _, err := Open(b, key, "b", false, func(_ *Conn, r *Request) { got <- r }); err != nil {
+				t.Error(err)
+			}
+		}()
+		c, err := Open(a, key, "a", true, func(*Conn, *Request) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Send(m); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case r := <-got:
+			var params map[string]string
+			if err := r.Decode(&params); err != nil || r.Method != "node.update" || len(params["name"]) != 200 || len(r.Params) != m.Plain {
+				t.Fatalf("%s %s: %v", r.Method, r.Params, err)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("the message did not arrive")
+		}
+		c.Close()
+		if err := c.Send(m); err == nil {
+			t.Fatal("a closed connection takes messages")
+		}
+	}
+}
--- a/plugin/distribution/push.go
+++ b/plugin/distribution/push.go
@@ -1,15 +1,12 @@
 package distribution
 
 import (
-	stdjson "encoding/json"
 	"fmt"
 	"strings"
 
-	"github.com/cockroachdb/errors"
-	"github.com/go-json-experiment/json"
-
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/core/rpc"
 )
 
 // pushKey orders the jobs that send changes to all sessions.
@@ -25,8 +22,8 @@
 
 // encoded is an update as it goes to every node that needs the same step.
 type encoded struct {
-	id  uint64
-	raw stdjson.RawMessage
+	id      uint64
+	message *rpc.Message
 }
 
 // kick schedules a push to all sessions, after the time that gathers changes.
@@ -147,9 +144,9 @@
 			return
 		}
 	}
-	raw, err := d.plan(e, from, delta)
-	if err == nil && raw != nil {
-		err = e.conn.Notify(peerapi.NodeUpdate, raw)
+	m, err := d.plan(e, from, delta)
+	if err == nil && m != nil {
+		err = e.conn.Send(m)
 	}
 	if err != nil {
 		d.c.Log.Log(evSendError).Str("node", e.node).Err(err).Send()
@@ -159,7 +156,7 @@
 
 // plan decides on the next update of a session and returns its encoding, or nil
 // when there is nothing to send.
-func (d *Distribution) plan(e *entry, from resource.Version, delta *resource.Delta) (stdjson.RawMessage, error) {
+func (d *Distribution) plan(e *entry, from resource.Version, delta *resource.Delta) (*rpc.Message, error) {
 	now := d.c.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -177,8 +174,8 @@
 	e.session.sent(enc.id, f)
 	e.sent = now
 	d.updates.Inc()
-	d.updateSize.Add(len(enc.raw))
-	return enc.raw, nil
+	d.updateSize.Add(enc.message.Plain)
+	return enc.message, nil
 }
 
 // offer is called with mu held.
@@ -217,15 +214,15 @@
 	}
 	d.lastID++
 	u.ID = d.lastID
-	raw, err := json.Marshal(u)
+	m, err := rpc.NewMessage(peerapi.NodeUpdate, u)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode update")
+		return nil, err
 	}
 	d.encodings.Inc()
 	if len(d.encoded) >= maxCached {
 		clear(d.encoded)
 	}
-	enc := &encoded{id: u.ID, raw: raw}
+	enc := &encoded{id: u.ID, message: m}
 	d.encoded[key.String()] = enc
 	return enc, nil
 }
--- a/plugin/outbound/spread.go
+++ b/plugin/outbound/spread.go
@@ -63,7 +63,7 @@
 // Constants of the calls that leave a zone with many endpoints.
 const (
 	// leaveLoad is the load that is left to the own zone.
-	leaveLoad = 0.85
+	leaveLoad = 0.75
 	// leaveGap is how much less busy other zones must be.
 	leaveGap = 0.1
 	// leaveMost bounds the part of the calls that leave, since the loads are those of
--- a/plugin/quorum/raft/core.go
+++ b/plugin/quorum/raft/core.go
@@ -57,9 +57,19 @@
 	c.term = max(c.term, r.Snapshot.Term)
 	c.heard = now - o.Election // a restart does not protect any leader
 	c.resetDeadline()
+	if c.log.config().IsVoter(o.ID) {
+		// When all voters return together, nobody leads and nobody has to be waited for.
+		// A pre-vote that comes too early is refused and costs nothing.
+		c.deadline = now + c.pause()
+	}
 	return c
 }
 
+// pause is the time between two pre-votes.
+func (c *Core) pause() Instant {
+	return c.o.Heartbeat + Instant(c.o.Rand.Int64N(int64(c.o.Heartbeat)*2+1))
+}
+
 // Tick tells the time. It starts elections and sends heartbeats that are due.
 func (c *Core) Tick(now Instant) {
 	c.now = now
--- a/plugin/quorum/raft/election.go
+++ b/plugin/quorum/raft/election.go
@@ -14,7 +14,7 @@
 	c.votes = map[replog.MemberID]bool{c.o.ID: true}
 	if as == PreCandidate {
 		// A refused pre-vote costs nothing and is repeated soon.
-		c.deadline = c.now + c.o.Heartbeat + Instant(c.o.Rand.Int64N(int64(c.o.Heartbeat)*2+1))
+		c.deadline = c.now + c.pause()
 	} else {
 		c.resetDeadline()
 	}
--- a/plugin/quorum/raft/raft_test.go
+++ b/plugin/quorum/raft/raft_test.go
@@ -292,3 +292,29 @@
 		t.Fatalf("entries of term 3 are taken for saved: %+v", rd)
 	}
 }
+
+// Guards against a group whose members all return after a loss of power and which
+// serves nothing for a whole election timeout, although there is no leader to wait for.
+func TestRestartedGroupElectsAtOnce(t *testing.T) {
+	cores := map[replog.MemberID]*Core{}
+	for id := replog.MemberID(1); id <= 3; id++ {
+		r := Recovered{Hard: replog.HardState{Term: 4, Commit: 1}, Snapshot: replog.Snapshot{Index: 1, Term: 1, Config: groupOf(3)}}
+		cores[id] = New(options(id), r, 0)
+	}
+	for now := Instant(0); now < options(1).Election; now += second / 100 {
+		var sent []Message
+		for id := replog.MemberID(1); id <= 3; id++ {
+			cores[id].Tick(now)
+			sent = append(sent, take(cores[id])...)
+			if cores[id].State() == Leader {
+				return
+			}
+		}
+		for len(sent) > 0 {
+			m := sent[0]
+			cores[m.To].Step(now, m)
+			sent = append(sent[1:], take(cores[m.To])...)
+		}
+	}
+	t.Fatal("no leader within the least election timeout")
+}
