outbound: a call that may run again leaves an endpoint that is silent

Change: an attempt without an answer after three times the usual duration of its route ends when the retry budget and the remaining time allow another one. Calls that run at most once and the last permitted attempt are left alone. TestSilentEndpointIsLeft fails without it (20 calls take more than 2 s).

--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"net/http"
 	"net/url"
 	"time"
@@ -32,6 +33,8 @@
 	// stage is that of the next offer, busy lists the endpoints that had no free slot.
 	stage int
 	busy  []*endpoint
+	// paid tells that the next dispatch was taken from the retry budget already.
+	paid bool
 	// offers counts the dispatches that no upstream has received, arrivals the others.
 	offers, arrivals int
 	// last is the node of the newest dispatch.
@@ -131,7 +134,7 @@
 		return false
 	}
 	now := time.Now()
-	if c.arrivals == 0 {
+	if c.arrivals == 0 || c.paid {
 		return true
 	}
 	// An attempt that cannot end in time would only take a slot from another call.
@@ -215,12 +218,22 @@
 	c.call.Patience = c.patience()
 	c.last = to.Node
 	sent := time.Now()
-	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
+	ctx, cancel := context.WithCancel(c.r.Context())
+	defer cancel()
+	silence := c.watch(cancel)
+	x, f := c.o.client.Do(ctx, &httpcall.Request{
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Call: &c.call, Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.o.s.BufferBytes,
 	})
-	if f == nil {
+	c.paid = silence.stop()
+	switch {
+	case c.paid && f == nil:
+		x.Finish(false)
+		f = silence.failure(nil)
+	case c.paid && f.Kind == httpcall.KindCancelled && c.r.Context().Err() == nil:
+		f = silence.failure(f)
+	case f == nil:
 		f = c.reported(x)
 	}
 	if f != nil {
--- a/test/dataplane/faults_test.go
+++ b/test/dataplane/faults_test.go
@@ -311,3 +311,52 @@
 		t.Fatalf("primary unreachable: %+v, %d runs", e, l.count("w"))
 	}
 }
+
+// Guards against calls that may run again and wait until their deadline at an endpoint
+// that hangs while others answer, and against such an end of calls that run at most once.
+func TestSilentEndpointIsLeft(t *testing.T) {
+	f := newFleet(t, 9)
+	var hang atomic.Bool
+	var runs atomic.Int64
+	for i := range 3 {
+		f.add(fmt.Sprintf("n%d", i), "z1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			runs.Add(1)
+			if i == 0 && hang.Load() {
+				_, _ = io.Copy(io.Discard, r.Body) // the server notices the end of the connection only then
+				<-r.Context().Done()
+				return
+			}
+			time.Sleep(5 * time.Millisecond)
+			_, _ = io.WriteString(w, "ok")
+		}))
+	}
+	caller := f.add("caller", "z1", nil)
+	for range 100 {
+		if got := caller.call("GET", "north", "/", ""); got.status != 200 {
+			t.Fatalf("call %+v", got)
+		}
+	}
+	hang.Store(true)
+	begin := time.Now()
+	for range 20 {
+		if got := caller.call("GET", "north", "/", ""); got.status != 200 {
+			t.Fatalf("call %+v", got)
+		}
+	}
+	if d := time.Since(begin); d > 1900*time.Millisecond {
+		t.Fatalf("20 calls took %v; one of them has waited for its timeout of 2 s", d)
+	}
+	runs.Store(0)
+	var wg sync.WaitGroup
+	for range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			caller.call("POST", "north", "/", "x")
+		}()
+	}
+	wg.Wait()
+	if n := runs.Load(); n > 12 {
+		t.Fatalf("12 calls that run at most once ran %d times", n)
+	}
+}
