--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"context"
 	"net/http"
 	"net/url"
 	"time"
@@ -33,8 +32,6 @@
 	// stage is that of the next offer, busy lists the endpoints that had no free slot.
 	stage int
 	busy  []*endpoint
-	// paid tells that the next dispatch was taken from the retry budget already.
-	paid bool
 	// offers counts the dispatches that no upstream has received, arrivals the others.
 	offers, arrivals int
 	// last is the node of the newest dispatch.
@@ -51,6 +48,19 @@
 	tried [8]*endpoint
 }
 
+// hopelessShare is the part of the usual duration of a route's calls below which the
+// time left is too short: hardly one call in twenty ends so soon, and the others would
+// only take slots from calls that can still be answered.
+const hopelessShare = 0.4
+
+// hopeless reports whether a call can hardly end in the time that is left. usual is 0
+// when it is unknown.
+func hopeless(left, usual time.Duration) bool {
+	return left < time.Duration(hopelessShare*float64(usual))
+}
+
+var errHopeless = errors.New("the time left is much shorter than such calls take")
+
 var errNoEndpoint = errors.New("no endpoint of the service can take the call or has room for it")
 
 // run dispatches the call until it is answered. It runs on a worker.
@@ -59,6 +69,10 @@
 	c.o.queueTime.Update(now.Sub(c.queued).Seconds())
 	c.o.table.begin(c.cluster, now)
 	tried := c.tried[:0]
+	if hopeless(c.deadline.Sub(now), c.o.classes.mean(c.route.Name)) {
+		c.fail(httpcall.NewFailure(httpcall.KindUnreachable, verdict.NotRun, errHopeless))
+		return
+	}
 	last := httpcall.NewFailure(httpcall.KindUnreachable, verdict.NotRun, errNoEndpoint)
 	for {
 		e, to := c.choose(tried)
@@ -134,7 +148,7 @@
 		return false
 	}
 	now := time.Now()
-	if c.arrivals == 0 || c.paid {
+	if c.arrivals == 0 {
 		return true
 	}
 	// An attempt that cannot end in time would only take a slot from another call.
@@ -222,22 +236,12 @@
 	c.call.Patience = c.patience()
 	c.last = to.Node
 	sent := time.Now()
-	ctx, cancel := context.WithCancel(c.r.Context())
-	defer cancel()
-	silence := c.watch(cancel)
-	x, f := c.o.client.Do(ctx, &httpcall.Request{
+	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Call: &c.call, Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.o.s.BufferBytes,
 	})
-	c.paid = silence.stop()
-	switch {
-	case c.paid && f == nil:
-		x.Finish(false)
-		f = silence.failure(nil)
-	case c.paid && f.Kind == httpcall.KindCancelled && c.r.Context().Err() == nil:
-		f = silence.failure(f)
-	case f == nil:
+	if f == nil {
 		f = c.reported(x)
 	}
 	if f != nil {
