--- a/plugin/capacity/plugin.go
+++ b/plugin/capacity/plugin.go
@@ -19,7 +19,10 @@
 	"github.com/celeryyard/celeryyard/plugin/peer"
 )
 
-var evInvalid = event.Declare(570, zerolog.WarnLevel, "load reports of another control instance refused")
+var (
+	evInvalid = event.Declare(570, zerolog.WarnLevel, "load reports of another control instance refused")
+	evUnsent  = event.Declare(571, zerolog.DebugLevel, "load reports could not be sent")
+)
 
 // cacheTime is how long the encoding for a service is shared between nodes. It is
 // below the interval of the reports, so that it adds little to their age.
@@ -115,14 +118,22 @@
 			delete(a.encoded, service)
 		}
 	}
-	m := &peerapi.Reports{Nodes: a.table.owned(now)}
+	own := a.table.owned(now)
 	a.mu.Unlock()
-	if len(m.Nodes) == 0 {
+	conns := a.discovery.Conns()
+	if len(own) == 0 || len(conns) == 0 {
+		return
+	}
+	m, err := rpc.NewMessage(peerapi.CapacityReports, &peerapi.Reports{Nodes: own})
+	if err != nil {
+		a.c.Log.Log(evUnsent).Err(err).Send()
 		return
 	}
-	for _, c := range a.discovery.Conns() {
-		// A connection whose queue is full gets the next reports instead.
-		_ = c.Notify(peerapi.CapacityReports, m)
+	for _, c := range conns {
+		if err := c.Send(m); err != nil {
+			// The instance gets the next reports once it is connected again.
+			a.c.Log.Log(evUnsent).Str("process", c.Peer).Err(err).Send()
+		}
 	}
 }
 
