kernel: a SIGHUP during the planned stop does not end the process

The handler of SIGHUP was removed when the stop began, and a change of the settings then ended the process by the signal's default action. Change: SIGHUP and SIGTERM stay caught until the process ends; an end-to-end test sends one during the stop of a node and of a control instance.

--- a/kernel/program.go
+++ b/kernel/program.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"syscall"
 
@@ -120,6 +121,10 @@
 // runGroup runs the kernel until it ends or a signal asks it to stop.
 func runGroup(k *Kernel) error {
 	var g run.Group
+	// Both signals stay caught until the process ends: by its default action a SIGHUP
+	// that comes during a planned stop would cut the calls in flight.
+	held := make(chan os.Signal, 1)
+	signal.Notify(held, syscall.SIGHUP, syscall.SIGTERM)
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return k.Run(ctx) }, func(error) { cancel() })
 	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -131,3 +131,26 @@
 		t.Errorf("I6: executed more than once: %v", r.Duplicates)
 	}
 }
+
+// Guards against a change of the settings that ends a process during its planned stop by
+// the default action of the signal, and cuts the calls in flight.
+func TestHangupDuringAPlannedStop(t *testing.T) {
+	f, d := started(t, false)
+	d.o.Stop()
+	for name, p := range map[string]*harness.Process{"node": f.Nodes[0], "control instance": f.Controls[2]} {
+		code := make(chan int, 1)
+		go func() { code <- p.Stop() }()
+		for range 20 {
+			time.Sleep(20 * time.Millisecond)
+			if p.Running() {
+				p.Hangup()
+			}
+		}
+		if c := <-code; c != 0 {
+			t.Errorf("%s: exit code %d", name, c)
+		}
+		if !p.LogHas(102) {
+			t.Errorf("%s: the planned stop did not end", name)
+		}
+	}
+}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -136,6 +136,9 @@
 	return err == nil && len(threads) > 0
 }
 
+// Hangup tells the process that its settings have changed.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
 
