--- a/core/peerapi/capacity.go
+++ b/core/peerapi/capacity.go
@@ -46,7 +46,7 @@
 // Bytes of an entry, and their units in steps for each 1.
 const (
 	entryBytes    = 3
-	slownessSteps = 32 // up to 8 times as slow as the mean
+	slownessSteps = 32 // up to 8 times as slow as the median
 	loadSteps     = 50 // up to 5 calls for each slot
 	failingSteps  = 100
 )
