--- a/plugin/outbound/capacity_test.go
+++ b/plugin/outbound/capacity_test.go
@@ -30,18 +30,24 @@
 	return tb, s
 }
 
-// Guards against a node that calls each of many endpoints too seldom to learn which
-// ones are slow and spreads its calls over all of them alike.
-func TestReportedSlownessDecidesBeforeOwnCalls(t *testing.T) {
-	tb, s := learned(t, 48)
-	slow := 0
+// share counts how many of 1,000 calls go to endpoints of a kind.
+func share(tb *table, kind func(*endpoint) bool) int {
+	n := 0
 	for range 1000 {
 		e, _ := tb.pick(&resource.Cluster{Service: "svc"}, wish{spillAt: fullZone}, start)
-		if e.slowness == 2 {
-			slow++
+		if kind(e) {
+			n++
 		}
 		e.inflight--
 	}
+	return n
+}
+
+// Guards against a node that calls each of many endpoints too seldom to learn which
+// ones are slow and spreads its calls over all of them alike.
+func TestReportedSlownessDecidesBeforeOwnCalls(t *testing.T) {
+	tb, s := learned(t, 48)
+	slow := share(tb, func(e *endpoint) bool { return e.slowness == 2 })
 	if slow > 200 {
 		t.Errorf("%d of 1000 calls went to the slow third", slow)
 	}
@@ -150,14 +156,7 @@
 func TestLargeSetsAreSpread(t *testing.T) {
 	tb, s := learned(t, 48)
 	s.list[1].learn(peerapi.EndpointLoad{Slowness: 0.9, Load: 0.3}, start)
-	taken := 0
-	for range 1000 {
-		e, _ := tb.pick(&resource.Cluster{Service: "svc"}, wish{spillAt: fullZone}, start)
-		if e == s.list[1] {
-			taken++
-		}
-		e.inflight--
-	}
+	taken := share(tb, func(e *endpoint) bool { return e == s.list[1] })
 	if taken > 80 {
 		t.Errorf("one of 48 endpoints, which is a little faster, got %d of 1000 calls", taken)
 	}
@@ -168,14 +167,7 @@
 func TestReportedFailuresDecideBeforeOwnOnes(t *testing.T) {
 	tb, s := learned(t, 48)
 	s.list[1].learn(peerapi.EndpointLoad{Slowness: 0.4, Load: 0, Failing: 1}, start)
-	taken := 0
-	for range 1000 {
-		e, _ := tb.pick(&resource.Cluster{Service: "svc"}, wish{spillAt: fullZone}, start)
-		if e == s.list[1] {
-			taken++
-		}
-		e.inflight--
-	}
+	taken := share(tb, func(e *endpoint) bool { return e == s.list[1] })
 	if taken > 10 {
 		t.Errorf("the failing endpoint got %d of 1000 calls", taken)
 	}
