idempotency: ask the earlier holder of a key while both present ones are recent

Both became holders of the key before the first endpoint copied its claim.

A holder whose endpoint is ready for less than 10 s now says so. When both holders are that recent the claim is also recorded at the endpoint that the hash names without them. While no earlier holder answers, the call is refused as not run. Claims that could not be placed are released wherever they were recorded.

--- a/plugin/idempotency/handover.go
+++ b/plugin/idempotency/handover.go
@@ -31,8 +31,8 @@
 }
 
 // successors are the holders of a claim once its present holder has left: those
-// of the remaining set, or the other holder when the set is not known.
-func successors(id string, rest *resource.EndpointSet, other httpcall.Target) []httpcall.Target {
+// of the remaining set, or the other holders when the set is not known.
+func successors(id string, rest *resource.EndpointSet, other []httpcall.Target) []httpcall.Target {
 	var out []httpcall.Target
 	if rest != nil {
 		primary, backup := httpcall.Holders(rest, id)
@@ -42,8 +42,8 @@
 			}
 		}
 	}
-	if len(out) == 0 && other.Address != "" {
-		out = append(out, other)
+	if len(out) == 0 {
+		return other
 	}
 	return out
 }
@@ -93,7 +93,7 @@
 			rest[name] = without(set, p.c.Instance.Name)
 		}
 	}
-	p.copyClaims(ctx, func(id string, other httpcall.Target) []httpcall.Target {
+	p.copyClaims(ctx, func(id string, other []httpcall.Target) []httpcall.Target {
 		return successors(id, rest[serviceOf(id)], other)
 	})
 }
@@ -113,7 +113,7 @@
 		return
 	}
 	job := func() {
-		p.copyClaims(context.Background(), func(id string, _ httpcall.Target) []httpcall.Target {
+		p.copyClaims(context.Background(), func(id string, _ []httpcall.Target) []httpcall.Target {
 			service := serviceOf(id)
 			old, now := before[service], s.Sets[service]
 			if old == nil || now == nil || old == now {
@@ -128,7 +128,7 @@
 }
 
 // copyClaims sends each claim to the nodes that to returns for it.
-func (p *Idempotency) copyClaims(ctx context.Context, to func(id string, other httpcall.Target) []httpcall.Target) {
+func (p *Idempotency) copyClaims(ctx context.Context, to func(id string, other []httpcall.Target) []httpcall.Target) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(copyTimeout)
@@ -154,15 +154,15 @@
 	}
 }
 
-// held is a record with the node that was told of it.
+// held is a record with the nodes that were told of it.
 type held struct {
 	record Record
-	other  httpcall.Target
+	other  []httpcall.Target
 }
 
 // copies returns the records for each target. The targets are computed without
 // the lock, as this takes some microseconds for each record.
-func (p *Idempotency) copies(now time.Time, to func(string, httpcall.Target) []httpcall.Target) map[httpcall.Target][]Record {
+func (p *Idempotency) copies(now time.Time, to func(string, []httpcall.Target) []httpcall.Target) map[httpcall.Target][]Record {
 	out := map[httpcall.Target][]Record{}
 	for _, h := range p.all(now) {
 		h.record.TTL = h.record.expires.Sub(now).Milliseconds()
@@ -185,8 +185,8 @@
 }
 
 // holdersOf returns the other holders of a claim at present: those of the set
-// when this node holds it, else the one that its caller named.
-func (p *Idempotency) holdersOf(id string, other httpcall.Target) []httpcall.Target {
+// when this node holds it, else those that recorded it.
+func (p *Idempotency) holdersOf(id string, other []httpcall.Target) []httpcall.Target {
 	s := p.view.Current()
 	if s == nil || s.Sets[serviceOf(id)] == nil {
 		return successors(id, nil, other)
--- a/plugin/idempotency/message.go
+++ b/plugin/idempotency/message.go
@@ -37,6 +37,9 @@
 type reply struct {
 	Result Result  `json:"result"`
 	Record *Record `json:"record,omitempty"`
+	// Recent tells that the answering node became a holder so recently that earlier
+	// holders may not have copied their claims to it yet.
+	Recent bool `json:"recent,omitempty"`
 }
 
 var errMessage = errors.New("claim message is malformed")
--- a/plugin/idempotency/plugin.go
+++ b/plugin/idempotency/plugin.go
@@ -46,14 +46,17 @@
 	// may change before Start.
 	started atomic.Bool
 
-	// mu guards the table and the other holders of the own claims.
+	// mu guards the table, the other holders of the own claims and joined.
 	mu   *rank.Mutex
 	sets map[string]*resource.EndpointSet
 	// services names those of which this node has held claims.
 	services map[string]bool
 	seq      uint64
 	claims   *claims
-	other    map[string]httpcall.Target
+	// other names the nodes that were asked to record an own claim, the backup first.
+	other map[string][]httpcall.Target
+	// joined tells by service since when the own endpoint is ready.
+	joined map[string]joining
 }
 
 func newIdempotency(c *kernel.Context) *Idempotency {
@@ -61,7 +64,7 @@
 	p := &Idempotency{
 		c: c, s: s, view: kernel.Use[api.View](c, "view"), peer: kernel.Use[*peer.Peer](c, "peer"),
 		boot: rand.Uint64(), mu: rank.New(rank.Idempotency), claims: newClaims(s.Claims, s.AnswerBytes),
-		other: map[string]httpcall.Target{}, services: map[string]bool{},
+		other: map[string][]httpcall.Target{}, services: map[string]bool{}, joined: map[string]joining{},
 		sent: c.Metrics.NewCounter("celeryyard_claim_messages_total"), repeat: c.Metrics.NewCounter("celeryyard_claim_repeats_total"),
 	}
 	p.view.Watch(p.changed)
@@ -122,7 +125,7 @@
 
 // Begin records the claim here and at the backup. With ResultNew the call may run
 // and Finish or Release must follow. With ResultKnown the record tells what is
-// known; the call must not run. An error means that nothing ran: the backup could
+// known; the call must not run. An error means that nothing ran: a holder could
 // not record the claim. Begin blocks for at most the message timeout.
 func (p *Idempotency) Begin(ctx context.Context, c Claim) (Result, *Record, error) {
 	now := time.Now()
@@ -133,11 +136,12 @@
 	rec.Seq = p.seq
 	p.services[serviceOf(c.ID)] = true
 	result, known := p.claims.claimOwn(rec, now, ttl)
-	if result == ResultNew && c.Backup.Address != "" {
-		p.other[c.ID] = c.Backup
+	if result == ResultNew {
+		delete(p.other, c.ID)
 	}
+	recent := p.recent(serviceOf(c.ID), now)
 	p.mu.Unlock()
-	if result != ResultNew || c.Backup.Address == "" {
+	if result != ResultNew {
 		if result == ResultKnown {
 			p.repeat.Inc()
 			known = p.told(known)
@@ -149,20 +153,23 @@
 		limit = c.Deadline
 	}
 	rec.TTL = ttl.Milliseconds()
-	answer, err := p.send(ctx, c.Backup, &message{Op: opClaim, Records: []Record{*rec}}, limit)
-	if err != nil {
-		p.release(rec)
-		return "", nil, errors.Wrap(err, "claim at the backup")
+	asked := []string{p.c.Instance.Name}
+	if c.Backup.Address != "" {
+		answer, err := p.ask(ctx, c.Backup, rec, limit)
+		if err != nil {
+			p.Release(rec.ID)
+			return "", nil, errors.Wrap(err, "claim at the backup")
+		}
+		if answer.Result != ResultNew {
+			return p.refused(rec, answer)
+		}
+		recent = recent && answer.Recent
+		asked = append(asked, c.Backup.Node)
 	}
-	switch answer.Result {
-	case ResultNew:
+	if !recent {
 		return ResultNew, nil, nil
-	case ResultKnown:
-		p.repeat.Inc()
-		return ResultKnown, p.adopt(answer.Record), nil
 	}
-	p.release(rec)
-	return answer.Result, nil, nil
+	return p.askEarlier(ctx, rec, asked, limit)
 }
 
 // told is what a caller is told of a known claim: a call that another process was
@@ -212,27 +219,23 @@
 	}
 }
 
-// Release forgets a claim whose call did not run, here and at the other holder.
+// Release forgets a claim whose call did not run, here and at the other holders.
 func (p *Idempotency) Release(id string) {
 	p.mu.Lock()
-	r, to := p.claims.records[id], p.other[id]
+	r, other := p.claims.records[id], p.other[id]
+	if r != nil {
+		p.claims.release(r)
+		delete(p.other, id)
+	}
 	p.mu.Unlock()
 	if r == nil {
 		return
 	}
-	p.release(r)
-	if to.Address != "" {
+	for _, to := range other {
 		p.later(to, &message{Op: opRelease, Records: []Record{*r}})
 	}
 }
 
-func (p *Idempotency) release(r *Record) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.claims.release(r)
-	delete(p.other, r.ID)
-}
-
 // later sends a message by a worker. Messages of one claim keep their order.
 func (p *Idempotency) later(to httpcall.Target, m *message) {
 	err := p.pool.TrySubmit(&pool.Job{Key: m.Records[0].ID, Run: func() {
@@ -257,7 +260,7 @@
 		if result != ResultKnown {
 			rec = nil
 		}
-		return &reply{Result: result, Record: rec}
+		return &reply{Result: result, Record: rec, Recent: p.recent(serviceOf(r.ID), now)}
 	case opRelease:
 		p.claims.release(r)
 		return &reply{Result: ResultNew}
--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -107,9 +107,22 @@
 	n.kernel, n.stop = kerneltest.Start(f.t, []string{"peer", "view", "announce", "idempotency", "outbound", "inbound"}, text, false)
 	n.view = n.kernel.Service("view").(*fakeView)
 	n.announce = n.kernel.Service("announce").(*fakeAnnounce)
-	if n.upstream == nil {
-		return
+	if n.upstream != nil {
+		f.attach(n)
 	}
+}
+
+// adopt starts an upstream beside a node that has none. It is not ready yet.
+func (f *fleet) adopt(n *node, h http.Handler) {
+	n.upstream = httptest.NewServer(h)
+	f.t.Cleanup(n.upstream.Close)
+	f.attach(n)
+	n.endpoint.State = resource.StateStarting
+	f.publish()
+}
+
+// attach announces the node's upstream as ready.
+func (f *fleet) attach(n *node) {
 	n.endpoint = resource.Endpoint{
 		Node: n.name, Service: "svc", Incarnation: uint64(time.Now().UnixNano()), Address: n.relay.address,
 		AvailabilityZone: n.zone, Slots: f.slots, State: resource.StateReady, ReadySince: 1,
