quorum: remove silent learners of an open group

An instance that is replaced under another name stayed a learner for ever: only a learner of the same name was taken out. The leader sent heartbeats to each, and the configuration grew with every replacement.

Found by a model of the open group (TestOpenGroupUnderChurn): up to 16 instances, and 60 or 300 with -long, that lose disks, are replaced under other names, are cut, split, frozen, stopped together, or see their clock jump. It checks the properties of TestSafetyUnderFaults and that the members at rest are the living instances.

--- a/plugin/discovery/table_test.go
+++ b/plugin/discovery/table_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"reflect"
@@ -16,16 +17,17 @@
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
+var long = flag.Int("long", 1, "factor by which property tests run longer")
+
 const (
 	grace      = 5 * time.Second
 	tombstones = 2 * time.Hour
 )
 
-var names = []string{"a", "b", "c"}
-
-// mesh runs the tables of three instances and the messages between them.
+// mesh runs the tables of some instances and the messages between them.
 type mesh struct {
 	rng    *rand.Rand
+	names  []string
 	now    time.Time
 	tables map[string]*table
 	epochs map[string]uint64
@@ -47,12 +49,15 @@
 	at string // instance; empty without a session
 }
 
-func newMesh(seed int64) *mesh {
+func newMesh(seed int64, instances, nodes int) *mesh {
 	m := &mesh{rng: rand.New(rand.NewPCG(uint64(seed), 2)), now: time.Unix(1e9, 0), tables: map[string]*table{}, epochs: map[string]uint64{}, seqs: map[[2]string]uint64{}, queues: map[[2]string][]message{}}
-	for _, n := range names {
+	for i := range instances {
+		m.names = append(m.names, fmt.Sprintf("c%02d", i))
+	}
+	for _, n := range m.names {
 		m.start(n)
 	}
-	for i := range 5 {
+	for i := range nodes {
 		m.nodes = append(m.nodes, &upstream{e: resource.Endpoint{Node: fmt.Sprint("n", i), Service: "s", Incarnation: 1, State: resource.StateReady, Slots: 9}})
 	}
 	return m
@@ -61,7 +66,7 @@
 // start begins a new life of an instance with an empty table.
 func (m *mesh) start(name string) {
 	var others []string
-	for _, o := range names {
+	for _, o := range m.names {
 		if o != name {
 			others = append(others, o)
 		}
@@ -100,7 +105,7 @@
 	t := m.tables[from]
 	own := t.of(t.changed)
 	clear(t.changed)
-	for _, to := range names {
+	for _, to := range m.names {
 		if to != from {
 			m.send(from, to, false, own, nil)
 		}
@@ -140,8 +145,10 @@
 	u.at = at
 }
 
+func (m *mesh) name() string { return m.names[m.rng.IntN(len(m.names))] }
+
 func (m *mesh) step(op int) {
-	u, a, b := m.nodes[m.rng.IntN(len(m.nodes))], names[m.rng.IntN(3)], names[m.rng.IntN(3)]
+	u, a, b := m.nodes[m.rng.IntN(len(m.nodes))], m.name(), m.name()
 	switch op {
 	case 0:
 		m.announce(u, a, resource.StateReady)
@@ -188,13 +195,13 @@
 func (m *mesh) finish() error {
 	for i, u := range m.nodes {
 		if i > 0 && u.at == "" && u.e.State == resource.StateReady {
-			m.announce(u, names[m.rng.IntN(3)], resource.StateReady)
+			m.announce(u, m.name(), resource.StateReady)
 		}
 	}
 	for range 8 {
-		for _, from := range names {
+		for _, from := range m.names {
 			m.flush(from)
-			for _, to := range names {
+			for _, to := range m.names {
 				if from != to {
 					m.send(from, to, false, nil, nil) // heartbeat
 				}
@@ -206,14 +213,14 @@
 			}
 		}
 		m.now = m.now.Add(3 * grace)
-		for _, n := range names {
+		for _, n := range m.names {
 			m.tables[n].expire(m.now, grace, tombstones)
 		}
 	}
-	first := m.tables["a"].set("s")
-	for _, n := range names[1:] {
+	first := m.tables[m.names[0]].set("s")
+	for _, n := range m.names[1:] {
 		if set := m.tables[n].set("s"); !reflect.DeepEqual(first, set) {
-			return errors.Newf("table a has %+v, table %s has %+v", first, n, set)
+			return errors.Newf("table %s has %+v, table %s has %+v", m.names[0], first, n, set)
 		}
 	}
 	held := map[string]resource.Endpoint{}
@@ -240,7 +247,7 @@
 	params.MinSuccessfulTests = 3000
 	props := gopter.NewProperties(params)
 	props.Property("tables converge", prop.ForAllNoShrink(func(seed int64, ops []int) (bool, error) {
-		m := newMesh(seed)
+		m := newMesh(seed, 3, 5)
 		for _, op := range ops {
 			m.step(op)
 		}
@@ -250,6 +257,24 @@
 	props.TestingRun(t)
 }
 
+// Guards against tables that converge for a few nodes only: the largest number of
+// instances, and hundreds of nodes that move, restart and leave.
+func TestTablesOfALargeFleetConverge(t *testing.T) {
+	seeds, nodes, steps := 1, 100, 4000
+	if *long > 1 {
+		seeds, nodes, steps = *long, 600, 30000
+	}
+	for seed := range seeds {
+		m := newMesh(int64(seed), 16, nodes)
+		for range steps {
+			m.step(m.rng.IntN(16))
+		}
+		if err := m.finish(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
 // Guards against a set that is emptied because many leases are lost at once,
 // and against dead endpoints that stay in a set that can do without them.
 func TestLossOfManyLeasesKeepsTheSet(t *testing.T) {
--- a/plugin/quorum/faults_test.go
+++ b/plugin/quorum/faults_test.go
@@ -20,7 +20,7 @@
 
 // step makes one random thing happen.
 func (s *sim) step() {
-	s.now += raft.Instant(s.rng.Int64N(int64(2 * ms)))
+	s.now += raft.Instant(s.rng.Int64N(int64(s.pace())))
 	n := s.nodes[s.rng.IntN(len(s.nodes))]
 	switch k := s.rng.IntN(1000); {
 	case k < 550:
@@ -44,6 +44,10 @@
 	}
 }
 
+// pace bounds the time of a step, so that an instance of a large group is chosen
+// as often in its own time as one of a small group.
+func (s *sim) pace() raft.Instant { return max(1, 2*ms*4/max(4, raft.Instant(len(s.nodes)))) }
+
 // up reports whether the instance runs and is not frozen.
 func up(n *simNode) bool { return n.core != nil && !n.frozen }
 
@@ -65,7 +69,11 @@
 	if n.core.ConfigPending() {
 		return
 	}
-	if c, ok := raft.NextChange(n.core.Config(), s.listed, n.joins, n.core.Commit(), n.core.Progress()); ok {
+	c, ok := raft.NextChange(n.core.Config(), s.listed, n.joins, n.core.Commit(), n.core.Progress())
+	if s.target > 0 {
+		c, ok = raft.NextOpenChange(n.core.Config(), raft.OpenGroup{Voters: s.target, ReplaceAfter: simReplaceAfter, ForgetAfter: simForgetAfter}, n.joins, n.core.Commit(), n.core.Progress())
+	}
+	if ok {
 		if n.core.ProposeConfig(s.local(n), c.Config) == nil {
 			n.joins = nil
 		}
@@ -132,7 +140,7 @@
 		return
 	}
 	s.texts++
-	text := fmt.Sprintf("%s%d", n.name, s.texts)
+	text := fmt.Sprintf("%s-%d", n.name, s.texts)
 	n.table.add([]byte(text), s.local(n)+500*ms, func(_ any, err error) {
 		switch {
 		case err == nil:
@@ -201,11 +209,15 @@
 		return
 	}
 	config := n.core.CommittedConfig()
-	if _, ok := config.Find(n.member); ok {
+	if _, ok := config.Find(n.member); ok && (s.target == 0 || n.core.Leader() != 0) {
 		return
 	}
 	for _, l := range s.nodes {
-		if up(l) && s.side[l.name] == s.side[n.name] && l.core.State() == raft.Leader {
+		if !up(l) || s.side[l.name] != s.side[n.name] || l.core.State() != raft.Leader {
+			continue
+		}
+		config := l.core.Config()
+		if _, ok := config.Find(n.member); !ok {
 			l.joins = raft.AddJoin(l.joins, replog.Member{ID: n.member, Name: n.name})
 		}
 	}
@@ -257,6 +269,7 @@
 func (s *sim) crash(n *simNode, disk bool) {
 	lose := n.diskless || disk && s.mayLose(n)
 	s.sync(n, false)
+	n.configs = []replog.Config{n.core.Config(), n.core.CommittedConfig()}
 	n.core = nil
 	if lose {
 		s.wipe(n)
@@ -295,10 +308,11 @@
 // loss of the instance's disk.
 func (s *sim) mayLose(n *simNode) bool {
 	for _, m := range s.nodes {
-		if m.core == nil {
-			return false // its configurations are not known here
+		configs := m.configs
+		if m.core != nil {
+			configs = []replog.Config{m.core.Config(), m.core.CommittedConfig()}
 		}
-		for _, config := range []replog.Config{m.core.Config(), m.core.CommittedConfig()} {
+		for _, config := range configs {
 			voters, gone := config.Voters(), 0
 			for _, id := range voters {
 				if s.lost[id] || id == n.disk.member {
@@ -314,7 +328,10 @@
 }
 
 // settle ends all faults and lets the group come to rest.
-func (s *sim) settle() {
+func (s *sim) settle() { s.rest(s.settled, 300000) }
+
+// rest ends all faults and takes steps until why returns nothing.
+func (s *sim) rest(why func() string, steps int) {
 	s.calm = true
 	clear(s.side)
 	for _, n := range s.nodes {
@@ -323,14 +340,14 @@
 			s.start(n)
 		}
 	}
-	for i := 0; i < 300000 && s.err == nil; i++ {
+	for i := 0; i < steps && s.err == nil; i++ {
 		s.step()
-		if i%500 == 0 && s.settled() == "" {
+		if i%500 == 0 && why() == "" {
 			break
 		}
 	}
-	if why := s.settled(); why != "" {
-		s.failf("group did not settle: %s", why)
+	if reason := why(); reason != "" {
+		s.failf("group did not settle: %s", reason)
 	}
 	for text := range s.accepted {
 		if _, ok := s.applied[text]; !ok {
--- a/plugin/quorum/join.go
+++ b/plugin/quorum/join.go
@@ -72,7 +72,7 @@
 		if !raft.MayChangeOpen(&config, len(q.joins)) {
 			return raft.Change{}, false
 		}
-		return raft.NextOpenChange(config, q.s.OpenVoters, raft.Instant(q.s.ReplaceAfter.D()), q.joins, q.core.Commit(), q.core.Progress())
+		return raft.NextOpenChange(config, q.openGroup(), q.joins, q.core.Commit(), q.core.Progress())
 	}
 	if !raft.MayChange(&config, q.s.Voters, len(q.joins)) {
 		return raft.Change{}, false
@@ -80,6 +80,12 @@
 	return raft.NextChange(config, q.s.Voters, q.joins, q.core.Commit(), q.core.Progress())
 }
 
+func (q *Quorum) openGroup() raft.OpenGroup {
+	return raft.OpenGroup{
+		Voters: q.s.OpenVoters, ReplaceAfter: raft.Instant(q.s.ReplaceAfter.D()), ForgetAfter: raft.Instant(q.s.ForgetAfter.D()),
+	}
+}
+
 // ask calls every connected instance; mu is held. answer is called without it.
 func (q *Quorum) ask(method string, params any, answer func(name string, raw []byte)) {
 	for name, link := range q.links {
--- /dev/null
+++ b/plugin/quorum/open_test.go
@@ -0,0 +1,151 @@
+package quorum
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
+)
+
+// Silences after which the simulated open group acts.
+const (
+	simReplaceAfter = 2000 * ms
+	simForgetAfter  = 10000 * ms
+)
+
+// newOpenSim has a group of three voters and further instances that ask to join.
+func newOpenSim(seed uint64, instances int) *sim {
+	s := emptySim(seed)
+	s.target = 3
+	var config replog.Config
+	for range instances {
+		n := s.fresh()
+		if len(config.Members) < s.target {
+			config.Members = append(config.Members, replog.Member{ID: n.disk.member, Name: n.name, Voter: true})
+		}
+	}
+	for i, n := range s.nodes {
+		s.start(n)
+		if i < s.target {
+			n.core.Found(s.local(n), config)
+			s.drive(n)
+			s.sync(n, true)
+		}
+	}
+	return s
+}
+
+// fresh adds an instance with a name and an empty disk of its own.
+func (s *sim) fresh() *simNode {
+	s.nextID++
+	n := &simNode{name: fmt.Sprintf("i%d", s.nextID), disk: &simDisk{member: s.nextID}, skew: raft.Instant(s.rng.Int64N(int64(500 * ms)))}
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+// churn replaces an instance by one of another name, stops the whole group, or
+// moves a clock forward, as a suspended machine sees it.
+func (s *sim) churn() {
+	i := s.rng.IntN(len(s.nodes))
+	n := s.nodes[i]
+	switch k := s.rng.IntN(10); {
+	case k < 7 && n.core != nil && s.mayLose(n):
+		s.sync(n, false)
+		s.lost[n.disk.member] = true
+		s.nodes = append(s.nodes[:i], s.nodes[i+1:]...)
+		s.start(s.fresh())
+	case k < 9:
+		n.skew += raft.Instant(s.rng.Int64N(int64(5000 * ms)))
+	default:
+		for _, n := range s.nodes {
+			if n.core != nil {
+				s.crash(n, false)
+			}
+			s.start(n)
+		}
+	}
+}
+
+// unsettled returns why the membership is not that of the living instances, or
+// nothing.
+func (s *sim) unsettled() string {
+	config := s.nodes[0].core.CommittedConfig()
+	if n := len(config.Voters()); n != s.target {
+		return fmt.Sprintf("%d voters", n)
+	}
+	for _, m := range config.Members {
+		if s.byMember(m.ID) == nil {
+			return fmt.Sprintf("%v, which is gone, is a member, voter %v", m.ID, m.Voter)
+		}
+	}
+	for _, n := range s.nodes {
+		switch _, ok := config.Find(n.member); {
+		case !ok:
+			return fmt.Sprintf("%s is no member", n.name)
+		case n.core.Commit() != s.committed() || n.core.AppliedIndex() != s.committed():
+			return fmt.Sprintf("%s is at commit %d, applied %d of %d", n.name, n.core.Commit(), n.core.AppliedIndex(), s.committed())
+		case fmt.Sprint(n.state) != fmt.Sprint(s.nodes[0].state):
+			s.failf("%s and %s have different states", n.name, s.nodes[0].name)
+		}
+	}
+	return ""
+}
+
+// runOpen plays steps for each instance and then lets the group come to rest.
+func runOpen(seed uint64, instances, steps int) *sim {
+	s := newOpenSim(seed, instances)
+	for i := 0; i < steps*instances && s.err == nil; i++ {
+		s.step()
+		if s.rng.IntN(400*instances) == 0 {
+			s.churn()
+		}
+	}
+	s.rest(s.unsettled, 4*steps*instances)
+	return s
+}
+
+// Guards against accepted entries that are lost while instances lose their disks or
+// are replaced under other names, two leaders in one term, and a group that keeps
+// dead members or leaves living ones out.
+func TestOpenGroupUnderChurn(t *testing.T) {
+	p := gopter.DefaultTestParametersWithSeed(31)
+	p.MinSuccessfulTests = 12 * *long
+	props := gopter.NewProperties(p)
+	accepted, replaced, leaders, largest := 0, 0, 0, 0
+	props.Property("safe and settled", prop.ForAll(func(seed uint64) string {
+		s := runOpen(seed, []int{3, 5, 8, 16}[seed%4], 5000)
+		accepted += len(s.accepted)
+		replaced += len(s.lost)
+		leaders += len(s.leaders)
+		config := s.nodes[0].core.CommittedConfig()
+		largest = max(largest, len(config.Members))
+		if s.err != nil {
+			return s.err.Error()
+		}
+		return ""
+	}, gen.UInt64().WithShrinker(gopter.NoShrinker)))
+	props.TestingRun(t)
+	t.Logf("%d accepted proposals, %d terms with a leader, %d lost disks, at most %d members", accepted, leaders, replaced, largest)
+}
+
+// Guards against a group whose decisions hold for few instances only: hundreds
+// join, are lost and return.
+func TestOpenGroupOfHundreds(t *testing.T) {
+	instances, steps := 60, 2000
+	if *long > 1 {
+		instances, steps = 300, 3000
+	}
+	for seed := range *long {
+		s := runOpen(uint64(seed)+7, instances, steps)
+		if s.err != nil {
+			t.Fatalf("seed %d: %v", seed+7, s.err)
+		}
+		t.Logf("seed %d, %d instances: %d accepted proposals, %d terms with a leader, %d lost disks",
+			seed+7, instances, len(s.accepted), len(s.leaders), len(s.lost))
+	}
+}
--- a/plugin/quorum/raft/membership.go
+++ b/plugin/quorum/raft/membership.go
@@ -9,7 +9,7 @@
 // Change is a membership change that the leader should propose.
 type Change struct {
 	Config replog.Config
-	What   string // "add learner", "remove voter" or "promote learner"
+	What   string // "add learner", "remove learner", "remove voter" or "promote learner"
 	Member replog.Member
 }
 
--- a/plugin/quorum/raft/open.go
+++ b/plugin/quorum/raft/open.go
@@ -10,24 +10,38 @@
 // A voter is only ever removed for a learner that stands ready: a voter that is
 // merely cut off keeps its vote while nobody could take its place. A member that
 // returns under the name of a voter has lost its disk, so that voter goes first
-// and without the wait of replaceAfter.
-func NextOpenChange(config replog.Config, target int, replaceAfter Instant, joins []replog.Member, commit uint64, progress map[replog.MemberID]MemberProgress) (Change, bool) {
+// and without the wait of ReplaceAfter.
+//
+// A learner that stays silent is removed, because instances that are replaced under
+// other names would otherwise be sent heartbeats for ever. One that returns asks to
+// join again.
+func NextOpenChange(config replog.Config, o OpenGroup, joins []replog.Member, commit uint64, progress map[replog.MemberID]MemberProgress) (Change, bool) {
 	if c, ok := addLearner(config, joins); ok {
 		return c, true
 	}
-	ready, ok := readyLearner(config, commit, progress)
-	if !ok {
-		return Change{}, false
-	}
-	if len(config.Voters()) < target {
-		ready.Voter = true
-		return Change{config.With(ready), "promote learner", ready}, true
+	if ready, ok := readyLearner(config, commit, progress); ok {
+		if len(config.Voters()) < o.Voters {
+			ready.Voter = true
+			return Change{config.With(ready), "promote learner", ready}, true
+		}
+		if silent, ok := silentVoter(config, ready.Name, o.ReplaceAfter, progress); ok {
+			return Change{config.Without(silent.ID), "remove voter", silent}, true
+		}
 	}
-	silent, ok := silentVoter(config, ready.Name, replaceAfter, progress)
-	if !ok {
-		return Change{}, false
+	if silent, ok := silentLearner(config, o.ForgetAfter, progress); ok {
+		return Change{config.Without(silent.ID), "remove learner", silent}, true
 	}
-	return Change{config.Without(silent.ID), "remove voter", silent}, true
+	return Change{}, false
+}
+
+// OpenGroup is how a group whose members are not listed keeps its membership.
+type OpenGroup struct {
+	// Voters is the number of voters that it aims at.
+	Voters int
+	// ReplaceAfter is the silence after which a voter gives its place to a learner.
+	ReplaceAfter Instant
+	// ForgetAfter is the silence after which a learner is removed.
+	ForgetAfter Instant
 }
 
 // MayChangeOpen tells cheaply whether NextOpenChange could have something to do.
@@ -84,3 +98,15 @@
 	}
 	return out, out.ID != 0
 }
+
+// silentLearner returns the learner that has been silent for longest.
+func silentLearner(config replog.Config, forgetAfter Instant, progress map[replog.MemberID]MemberProgress) (replog.Member, bool) {
+	var out replog.Member
+	longest := forgetAfter
+	for _, m := range config.Members {
+		if p, other := progress[m.ID]; !m.Voter && other && !p.Active && p.Silent >= longest {
+			out, longest = m, p.Silent
+		}
+	}
+	return out, out.ID != 0
+}
--- a/plugin/quorum/setup.go
+++ b/plugin/quorum/setup.go
@@ -16,7 +16,9 @@
 			return &Settings{
 				ElectionTimeout: settings.Duration(900 * time.Millisecond),
 				Heartbeat:       settings.Duration(200 * time.Millisecond),
-				ReplaceAfter:    settings.Duration(2 * time.Second), SnapshotEntries: 10000, SnapshotBytes: 64 << 20, KeepEntries: 2000,
+				ReplaceAfter:    settings.Duration(2 * time.Second),
+				// Regions are cut off for an hour at times.
+				ForgetAfter: settings.Duration(2 * time.Hour), SnapshotEntries: 10000, SnapshotBytes: 64 << 20, KeepEntries: 2000,
 			}
 		},
 		Check: func(in *kernel.Instance, s any) error {
@@ -41,6 +43,9 @@
 	// ReplaceAfter is the silence after which a voter of an open group gives its
 	// place to an instance that has joined.
 	ReplaceAfter settings.Duration `json:"replace_after"`
+	// ForgetAfter is the silence after which an instance of an open group that has no
+	// vote is removed. It asks to join again when it returns.
+	ForgetAfter settings.Duration `json:"forget_after"`
 	// ElectionTimeout is the least time without a leader before an election.
 	ElectionTimeout settings.Duration `json:"election_timeout"`
 	// Heartbeat is the interval of the leader's idle messages to voters; learners
@@ -61,6 +66,9 @@
 	if s.ReplaceAfter.D() < s.ElectionTimeout.D() {
 		return settings.Invalid("replace_after", "must be at least election_timeout")
 	}
+	if s.ForgetAfter.D() < s.ReplaceAfter.D() {
+		return settings.Invalid("forget_after", "must be at least replace_after")
+	}
 	for i, v := range s.Voters {
 		if v == "" || slices.Contains(s.Voters[:i], v) {
 			return settings.Invalid("voters", "%q is empty or listed twice", v)
--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -28,6 +28,8 @@
 	diskless bool
 	frozen   bool
 	slow     bool // the disk is slow
+	// configs are those that the instance knew when it crashed.
+	configs []replog.Config
 }
 
 // simDisk is what survives a crash.
@@ -73,6 +75,8 @@
 	rng    *rand.Rand
 	now    raft.Instant
 	listed []string
+	// target is the number of voters of an open group; 0 means that listed names them.
+	target int
 	nodes  []*simNode
 	net    []flight
 	side   map[string]int // part of the network; only equal ones reach each other
@@ -105,11 +109,7 @@
 const ms = raft.Instant(1e6)
 
 func newSim(seed uint64, voters int) *sim {
-	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: 1000 * ms, side: map[string]int{}, lost: map[replog.MemberID]bool{},
-		chosen: map[uint64]string{}, accepted: map[string]bool{}, notRun: map[string]bool{}, applied: map[string]uint64{},
-		votes: map[string]replog.MemberID{}, leaders: map[uint64]replog.MemberID{},
-	}
+	s := emptySim(seed)
 	var config replog.Config
 	for i := range voters + 1 {
 		n := &simNode{name: string(rune('a' + i)), disk: &simDisk{}, diskless: i == voters, skew: raft.Instant(s.rng.Int64N(int64(500 * ms)))}
@@ -132,6 +132,14 @@
 	return s
 }
 
+func emptySim(seed uint64) *sim {
+	return &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), now: 1000 * ms, side: map[string]int{}, lost: map[replog.MemberID]bool{},
+		chosen: map[uint64]string{}, accepted: map[string]bool{}, notRun: map[string]bool{}, applied: map[string]uint64{},
+		votes: map[string]replog.MemberID{}, leaders: map[uint64]replog.MemberID{},
+	}
+}
+
 // local returns the instance's own clock.
 func (s *sim) local(n *simNode) raft.Instant { return s.now + n.skew }
 
