--- a/plugin/experiment/fleet.go
+++ b/plugin/experiment/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/celeryyard/celeryyard/core/layout"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/plugin/experiment/relay"
 )
 
@@ -32,6 +34,10 @@
 	// services replaces the four services of today; their endpoints are set so
 	// that there are as many as nodes.
 	services []layout.Service
+	// logLevel is that of all processes; empty means "error". logOutput takes what
+	// they write through a writer of each process; nil means the experiment's own log.
+	logLevel  string
+	logOutput io.Writer
 }
 
 // fleet is a running fleet of kernels.
@@ -45,6 +51,8 @@
 	track     *tracker
 	ops       *operators
 	timeouts  int
+	// logs are the writers of the processes when there is an output for them.
+	logs []*event.Writer
 }
 
 // newFleet starts a fleet of three control instances with disks in three zones,
@@ -56,6 +64,9 @@
 		// Without callers no call is on its way when a node stops.
 		o.node = map[string]map[string]any{"announce": {"linger": "50ms"}}
 	}
+	if o.logLevel == "" {
+		o.logLevel = "error"
+	}
 	services := o.services
 	if services == nil {
 		_, services = layout.Current()
@@ -70,7 +81,7 @@
 			{Name: "cant-a", Region: "cantabrico", Controls: 1}, {Name: "cant-b", Region: "cantabrico", Controls: 1},
 			{Name: "gorenjska-a", Region: "gorenjska", Controls: 1},
 		},
-		Services: services, Folder: dir, Address: e.address, Voters: 3, LogLevel: "error", Seed: e.s.Seed,
+		Services: services, Folder: dir, Address: e.address, Voters: 3, LogLevel: o.logLevel, Seed: e.s.Seed,
 		Control: o.control, Node: o.node, Upstream: o.upstream,
 	}
 	if o.relays {
@@ -136,7 +147,7 @@
 
 func (f *fleet) startAll(o fleetOptions) error {
 	for i, p := range f.plan.Controls {
-		c, err := f.e.process(p.Name, Programs.Control, p.Settings)
+		c, err := f.process(o, p.Name, Programs.Control, p.Settings)
 		if err != nil {
 			return err
 		}
@@ -146,7 +157,7 @@
 		}
 	}
 	for i, p := range f.plan.Nodes {
-		n, err := f.e.process(p.Name, Programs.Node, p.Settings)
+		n, err := f.process(o, p.Name, Programs.Node, p.Settings)
 		if err != nil {
 			return err
 		}
@@ -159,7 +170,7 @@
 		return nil
 	}
 	for _, p := range f.plan.Upstreams {
-		u, err := f.e.process(p.Name, Programs.Upstream, p.Settings)
+		u, err := f.process(o, p.Name, Programs.Upstream, p.Settings)
 		if err != nil {
 			return err
 		}
@@ -171,6 +182,17 @@
 	return nil
 }
 
+// process is a process of the fleet with its log.
+func (f *fleet) process(o fleetOptions, name string, plugins []string, sections map[string]any) (*process, error) {
+	p, err := f.e.process(name, plugins, sections)
+	if err == nil && o.logOutput != nil {
+		w := event.NewWriter(o.logOutput)
+		f.logs = append(f.logs, w)
+		p.log = w
+	}
+	return p, err
+}
+
 func (f *fleet) startControl(i int, bootstrap bool) error {
 	return f.controls[i].start(bootstrap, func(k *kernel.Kernel) {
 		if c, ok := k.Service("catalog").(interface {
--- a/plugin/experiment/overload.go
+++ b/plugin/experiment/overload.go
@@ -24,29 +24,14 @@
 // overload offers a multiple of what the slots can serve from one organisation,
 // while the other one asks for little, directly and through nodes in turn.
 func overload(e *env) error {
-	f, err := newFleet(e, fleetOptions{
-		nodes: 2 * overloadEndpoints, upstreams: true, services: []layout.Service{
-			{Name: "catalogo", Organisation: "tacto-norte", Slots: overloadSlots},
-			{Name: "order-desk", Organisation: "kranjc", Slots: overloadSlots},
-		},
-		upstream: map[string]map[string]any{"standin": {
-			"queue": overloadSlots, "service_time": map[string]any{"distribution": "constant", "mean": overloadService.String()},
-		}},
-	})
+	f, err := overloadFleet(e, fleetOptions{})
 	defer func() { _ = f.stop() }()
 	if err != nil {
 		return err
 	}
-	if err := f.lightTeam(); err != nil {
-		return err
-	}
-	if err := f.serving(); err != nil {
-		return err
-	}
-	capacity := overloadEndpoints * overloadSlots / overloadService.Seconds()
 	for _, times := range e.s.Overload {
 		for _, direct := range []bool{true, false} {
-			if err := f.overloaded(times, capacity, direct); err != nil {
+			if err := f.overloaded(times, direct); err != nil {
 				return err
 			}
 		}
@@ -54,6 +39,30 @@
 	return nil
 }
 
+// overloadCapacity is what the slots of the service serve, in calls a second.
+var overloadCapacity = overloadEndpoints * overloadSlots / overloadService.Seconds()
+
+// overloadFleet starts a service whose calls all take the same time, reached by
+// both organisations.
+func overloadFleet(e *env, o fleetOptions) (*fleet, error) {
+	o.nodes, o.upstreams = 2*overloadEndpoints, true
+	o.services = []layout.Service{
+		{Name: "catalogo", Organisation: "tacto-norte", Slots: overloadSlots},
+		{Name: "order-desk", Organisation: "kranjc", Slots: overloadSlots},
+	}
+	o.upstream = map[string]map[string]any{"standin": {
+		"queue": overloadSlots, "service_time": map[string]any{"distribution": "constant", "mean": overloadService.String()},
+	}}
+	f, err := newFleet(e, o)
+	if err != nil {
+		return f, err
+	}
+	if err := f.lightTeam(); err != nil {
+		return f, err
+	}
+	return f, f.serving()
+}
+
 // lightHost is the host at which Kranjc reaches the service of Tacto Norte.
 const lightHost = "catalogo.kranjc.example"
 
@@ -68,11 +77,25 @@
 	return f.converge(f.ops.version, convergeLimit)
 }
 
-// overloaded measures one load. The other organisation runs alone when times is 0.
-func (f *fleet) overloaded(times, capacity float64, direct bool) error {
-	variant, nodes := "through nodes", f.addresses("order-desk", func(i int) string { return f.plan.Nodes[i].Callers })
+// overloaded measures one load.
+func (f *fleet) overloaded(times float64, direct bool) error {
+	r, err := f.offer(times, direct)
+	if err != nil {
+		return err
+	}
+	variant := "through nodes"
+	if direct {
+		variant = "baseline direct"
+	}
+	f.reportOverload(fmt.Sprintf("%g times the slots", times), variant, r)
+	return nil
+}
+
+// offer runs one load. The other organisation runs alone when times is 0.
+func (f *fleet) offer(times float64, direct bool) (*load.Result, error) {
+	nodes := f.addresses("order-desk", func(i int) string { return f.plan.Nodes[i].Callers })
 	if direct {
-		variant, nodes = "baseline direct", f.addresses("catalogo", f.standin)
+		nodes = f.addresses("catalogo", f.standin)
 	}
 	sources := []any{organisation("kranjc", lightHost, lightShare)}
 	if times > 0 {
@@ -80,26 +103,22 @@
 	}
 	r, err := f.e.loadRun(fmt.Sprintf("overload-%g-%v", times, direct), map[string]any{
 		"nodes": nodes, "reports": f.addresses("", func(i int) string { return f.plan.Upstreams[i].Report }),
-		"rate": (times + lightShare) * capacity, "organisations": sources, "max_in_flight": 8192,
+		"rate": (times + lightShare) * overloadCapacity, "organisations": sources, "max_in_flight": 8192,
 		"timeout": "1s", "mix": map[string]any{"get": 0, "post": 1, "keyed": 0},
 	})
 	if err == nil {
 		err = failedChecks(r)
 	}
-	if err != nil {
-		return errors.Wrapf(err, "%g times the slots, %s", times, variant)
-	}
-	f.reportOverload(fmt.Sprintf("%g times the slots", times), variant, capacity, r)
-	return nil
+	return r, errors.Wrapf(err, "%g times the slots, direct %v", times, direct)
 }
 
-func (f *fleet) reportOverload(kase, variant string, capacity float64, r *load.Result) {
+func (f *fleet) reportOverload(kase, variant string, r *load.Result) {
 	light, heavy := groupOf(r, "kranjc", load.KindPost), groupOf(r, "tacto-norte", load.KindPost)
 	seconds := r.Settings.Duration.D().Seconds()
 	f.e.add(kase, variant, "other organisation p50", light.FromArrival.P50, "ms", 0, light.Calls)
 	f.e.add(kase, variant, "other organisation p99", light.FromArrival.P99, "ms", 0, light.Calls)
 	f.e.add(kase, variant, "other organisation failed", percent(light.Calls-light.Succeeded, light.Calls), "%", 0, light.Calls)
-	f.e.add(kase, variant, "goodput of all slots", percent(light.Succeeded+heavy.Succeeded, int(capacity*seconds)), "%", 0, r.Calls)
+	f.e.add(kase, variant, "goodput of all slots", percent(light.Succeeded+heavy.Succeeded, int(overloadCapacity*seconds)), "%", 0, r.Calls)
 	if heavy.Calls > 0 {
 		f.e.add(kase, variant, "heavy organisation p99", heavy.FromArrival.P99, "ms", 0, heavy.Calls)
 	}
