dialect: name requests of the product's own interface by X-Request-Id

Without a name the requests left no lines, so the cost and volume of the log could only be measured on the users' platform. Refusals repeat the name; the load tool sends one.

--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -95,14 +95,26 @@
 // Native is the product's own dialect.
 type Native struct{}
 
+// headerRequestID is the header by which callers commonly name a request. It passes
+// to the upstream like any other.
+const headerRequestID = "X-Request-Id"
+
+// maxRequestID bounds the names that are used; a longer one is not logged.
+const maxRequestID = 128
+
 // ReadCall implements Dialect.
 func (Native) ReadCall(h http.Header) (Call, error) {
+	c := Call{ID: h.Get(headerRequestID)}
+	if len(c.ID) > maxRequestID {
+		c.ID = ""
+	}
 	v := h.Get(httpcall.HeaderTimeout)
 	if v == "" {
-		return Call{}, nil
+		return c, nil
 	}
-	d, err := httpcall.ParseTimeout(v)
-	return Call{Timeout: d}, err
+	var err error
+	c.Timeout, err = httpcall.ParseTimeout(v)
+	return c, err
 }
 
 // WriteCall implements Dialect.
@@ -118,6 +130,9 @@
 
 // WriteRefusal implements Dialect.
 func (Native) WriteRefusal(h http.Header, f Refusal) {
+	if f.ID != "" {
+		h[headerRequestID] = []string{f.ID}
+	}
 	h.Set(httpcall.HeaderVerdict, f.Verdict.String())
 	if f.RetryAfter > 0 && f.Verdict == verdict.NotRun {
 		h.Set("Retry-After", strconv.FormatInt(int64((f.RetryAfter+time.Second-1)/time.Second), 10))
--- a/plugin/load/send.go
+++ b/plugin/load/send.go
@@ -77,6 +77,7 @@
 		return nil, err
 	}
 	req.Header.Set(answer.HeaderID, p.ID)
+	req.Header.Set("X-Request-Id", p.ID)
 	req.Header.Set(answer.HeaderBytes, strconv.Itoa(l.s.AnswerBytes))
 	if l.s.Depth > 0 {
 		req.Header.Set(answer.HeaderDepth, strconv.Itoa(l.s.Depth))
