outbound: precedence of slow endpoints only where calls meet their target

Cause: endpoints differ in speed by a factor of 2.3, and a catalogue lookup that stays at one of the slow third takes 317 ms for its own work and as long again for the calls it makes, of a target of 500 ms. Orders with 800 ms are served there in time.

An endpoint that is slower than others has precedence only for routes whose usual duration there is within 0.8 of the target.

--- a/plugin/outbound/beside.go
+++ b/plugin/outbound/beside.go
@@ -17,6 +17,12 @@
 	// besideSlowest is the relative duration of its calls from which the endpoint beside
 	// the node has no precedence.
 	besideSlowest = 2.5
+	// besideUsual is the relative duration up to which an endpoint is as fast as others.
+	besideUsual = 1.2
+	// besideTarget is the part of a route's target that calls may take at a slower
+	// endpoint for it to have precedence. Where the target is generous
+	// or the work short, slow endpoints serve as well as fast ones.
+	besideTarget = 0.8
 	// besideFailing is the share of failing calls from which it has none.
 	besideFailing = 0.05
 	// offerWait and besideWait are how many times the way a call waits for a slot at
@@ -47,8 +53,8 @@
 
 // beside returns the endpoint beside this node, counted as in flight, when a call is
 // to be offered to it before others: the links are narrow, and nothing is known against
-// the endpoint.
-func (t *table) beside(c *resource.Cluster, organisation string, priority int, now time.Time) (*endpoint, httpcall.Target) {
+// the endpoint. usual is the usual duration of the route's calls; 0 when it is unknown.
+func (t *table) beside(c *resource.Cluster, r *resource.Route, usual time.Duration, now time.Time) (*endpoint, httpcall.Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.way < dearWay {
@@ -57,15 +63,25 @@
 	s := t.set(c.Service, now)
 	s.called = now
 	for _, e := range s.list {
-		if e.Node == t.node && e.precedes(organisation, priority, time.Duration(c.SlowStartMillis)*time.Millisecond, now) {
+		if e.Node == t.node && e.precedes(r, time.Duration(c.SlowStartMillis)*time.Millisecond, usual, now) {
 			return t.chosen(e)
 		}
 	}
 	return nil, httpcall.Target{}
 }
 
-// precedes reports whether the endpoint beside the node is offered calls before others.
-func (e *endpoint) precedes(organisation string, priority int, slow time.Duration, now time.Time) bool {
-	return e.State == resource.StateReady && !e.Stale && !e.avoided(now) && !e.isFull(organisation, priority, now) &&
-		e.weight(now, slow) == 1 && e.slowFactor(now) < besideSlowest && e.failingShare(now) < besideFailing && e.failures == 0
+// precedes reports whether the endpoint beside the node is offered a call of the route
+// before others.
+func (e *endpoint) precedes(r *resource.Route, slowStart, usual time.Duration, now time.Time) bool {
+	if e.State != resource.StateReady || e.Stale || e.avoided(now) || e.isFull(r.Organisation, r.Priority, now) {
+		return false
+	}
+	if e.weight(now, slowStart) < 1 || e.failingShare(now) >= besideFailing || e.failures > 0 {
+		return false
+	}
+	slow := e.slowFactor(now)
+	if slow < besideUsual || r.Target() == 0 {
+		return slow < besideSlowest
+	}
+	return slow < besideSlowest && slow*float64(usual) <= besideTarget*float64(r.Target())
 }
--- a/plugin/outbound/beside_test.go
+++ b/plugin/outbound/beside_test.go
@@ -26,7 +26,8 @@
 func firstOffers(tb *table, s *set) (own int) {
 	for range 120 {
 		c := &call{
-			o: &Outbound{table: tb, s: &Settings{WaitShare: 0.25}}, route: &resource.Route{TargetMillis: 500, TimeoutMillis: 1200},
+			o:       &Outbound{table: tb, s: &Settings{WaitShare: 0.25}, classes: classes{means: map[string]usage{"r": {seconds: 0.3}}}},
+			route:   &resource.Route{Name: "r", TargetMillis: 500, TimeoutMillis: 1200},
 			cluster: &resource.Cluster{Service: "svc"}, begin: time.Now(), deadline: time.Now().Add(time.Second),
 		}
 		e, _ := c.choose(nil)
@@ -48,8 +49,10 @@
 		most   int
 		all    bool
 	}{
-		"long way":  {60 * time.Millisecond, func(*endpoint) {}, 120, true},
-		"short way": {2 * time.Millisecond, func(*endpoint) {}, 30, false},
+		"long way":                {60 * time.Millisecond, func(*endpoint) {}, 120, true},
+		"short way":               {2 * time.Millisecond, func(*endpoint) {}, 30, false},
+		"somewhat slow":           {60 * time.Millisecond, func(e *endpoint) { e.slowness, e.reported, e.slow = 1.3, time.Now(), 1.3 }, 120, true},
+		"too slow for the target": {60 * time.Millisecond, func(e *endpoint) { e.slowness, e.reported, e.slow = 1.5, time.Now(), 1.5 }, 30, false},
 		"slow": {60 * time.Millisecond, func(e *endpoint) {
 			e.slowness, e.reported, e.slow = 4, time.Now(), 4
 		}, 10, false},
--- a/plugin/outbound/offer.go
+++ b/plugin/outbound/offer.go
@@ -67,7 +67,7 @@
 	}
 	now := time.Now()
 	if c.stage == stageFirst && len(tried) == 0 {
-		if e, to := c.o.table.beside(c.cluster, c.route.Organisation, c.route.Priority, now); e != nil {
+		if e, to := c.o.table.beside(c.cluster, c.route, c.o.classes.mean(c.route.Name), now); e != nil {
 			return e, to
 		}
 	}
