--- a/plugin/outbound/beside.go
+++ b/plugin/outbound/beside.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// travelTime returns the smoothed time on the way to other nodes and back.
+func (t *table) travelTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.way
+}
+
 // worthWaiting is how long a wait at the endpoint costs less than another offer.
 func (t *table) worthWaiting(e *endpoint) time.Duration {
 	t.mu.Lock()
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -86,6 +86,7 @@
 		ejections:  c.Metrics.NewCounter("celeryyard_ejections_total"),
 		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="outbound"}`),
 	}
+	c.Metrics.NewGauge("celeryyard_way_seconds", func() float64 { return o.table.travelTime().Seconds() })
 	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
 		o.dialect = d
 	}
