operator: explain routes of a whole configuration to all operators

celeryyard explain, history and audit showed nothing of a fleet on the users' platform: its routes and changes belong to no organisation, and operators see their own only. They are shared like templates. A route that divides its requests no longer ends the command with a nil cluster; its parts are printed.

TestWholeConfigurationIsExplainedToAllOperators fails before the change.

--- a/cmd/celeryyard/table.go
+++ b/cmd/celeryyard/table.go
@@ -190,7 +190,13 @@
 	r, c := v.Route, v.Cluster
 	fmt.Fprintf(w, "route\t%s\nhost\t%s\npath prefix\t%s\nmethods\t%s\ntimeout\t%v\nattempts\t%d\n", r.Name, r.Match.Host, r.Match.PathPrefix,
 		strings.Join(r.Match.Methods, ", "), r.Timeout(), r.MaxAttempts)
-	fmt.Fprintf(w, "cluster\t%s\nservice\t%s\nretry budget\t%d %%\nwhy\t%s\n", c.Name, c.Service, c.RetryBudgetPercent, v.Text)
+	if c != nil { // absent for a route that divides its requests
+		fmt.Fprintf(w, "cluster\t%s\nservice\t%s\nretry budget\t%d %%\n", c.Name, c.Service, c.RetryBudgetPercent)
+	}
+	for _, p := range r.Split {
+		fmt.Fprintf(w, "part\t%s, weight %d\n", p.Cluster, p.Weight)
+	}
+	fmt.Fprintf(w, "why\t%s\n", v.Text)
 	if len(v.Endpoints) == 0 {
 		return
 	}
--- /dev/null
+++ b/plugin/operator/configuration_test.go
@@ -0,0 +1,44 @@
+package operator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/change"
+	"github.com/celeryyard/celeryyard/core/resource"
+)
+
+// Guards against operators who cannot see why a request goes where it goes when the
+// routes come with a whole configuration, and against a crash at routes that divide
+// their requests.
+func TestWholeConfigurationIsExplainedToAllOperators(t *testing.T) {
+	s := start(t, "")
+	done := make(chan change.Outcome, 1)
+	s.catalog.SubmitConfiguration("configuration-1", "platform", &resource.Configuration{
+		Number:   1,
+		Services: []resource.ConfiguredService{{Name: "catalogo"}, {Name: "taller"}},
+		Routes: []resource.ConfiguredRoute{
+			{Name: "r1", Host: "h.example", PathPrefix: "/x/", TimeoutMillis: 100, Service: "catalogo", MaxAttempts: 2},
+			{Name: "r2", Host: "h.example", PathPrefix: "/y/", TimeoutMillis: 100, Split: []resource.ServiceShare{{Service: "catalogo", Weight: 9}, {Service: "taller", Weight: 1}}},
+		},
+	}, 5*time.Second, func(o change.Outcome, err error) {
+		if err != nil {
+			t.Error(err)
+		}
+		done <- o
+	})
+	if o := <-done; o.State != change.StateAccepted {
+		t.Fatalf("configuration: %+v", o)
+	}
+	for _, token := range []string{tokenMojca, tokenBerto} {
+		for _, path := range []string{"/x/1", "/y/1"} {
+			code, m := s.call("GET", "/v1/explain?method=GET&host=h.example&path="+path, token, "")
+			if code != 200 || m["found"] != true {
+				t.Errorf("%s shown to %s: status %d, %v", path, token, code, m)
+			}
+		}
+		if _, m := s.call("GET", "/v1/history", token, ""); len(m["records"].([]any)) != 1 {
+			t.Errorf("history shown to %s: %v", token, m)
+		}
+	}
+}
--- a/plugin/operator/explain.go
+++ b/plugin/operator/explain.go
@@ -51,20 +51,41 @@
 	})
 }
 
-// explainRoute looks among the routes of the operator's organisation only. That
-// is the whole truth, because a host belongs to one organisation.
+// explainRoute looks among the routes of the operator's organisation and, as these are
+// shared, among those of the whole configuration. That is the whole truth, because a
+// host belongs to one organisation.
 func (o *Operator) explainRoute(f freshness, who Identity, method, host, path string) routeView {
 	v := routeView{freshness: f}
-	routes, clusters := o.catalog.Routes(who.Organisation)
-	r := resource.NewRouteTable(routes).Find(method, host, path)
-	if r == nil {
-		v.Text = "no route of your organisation matches"
+	for _, owner := range [...]string{who.Organisation, resource.ConfigurationTeam} {
+		routes, clusters := o.catalog.Routes(owner)
+		r := resource.NewRouteTable(routes).Find(method, host, path)
+		if r == nil {
+			continue
+		}
+		v.Found, v.Route, v.Cluster = true, r, clusters[r.Cluster]
+		v.Text = "the longest matching path prefix decides, then routes that name methods, then the name"
+		v.Endpoints = o.endpointsOf(r, clusters)
 		return v
 	}
-	v.Found, v.Route, v.Cluster = true, r, clusters[r.Cluster]
-	v.Text = "the longest matching path prefix decides, then routes that name methods, then the name"
-	if o.discovery != nil {
-		v.Endpoints = o.discovery.Set(v.Cluster.Service).Endpoints
-	}
+	v.Text = "no route of your organisation matches"
 	return v
 }
+
+// endpointsOf returns the endpoints of all services that a route leads to; nil when this
+// instance has no discovery.
+func (o *Operator) endpointsOf(r *resource.Route, clusters map[string]*resource.Cluster) []resource.Endpoint {
+	if o.discovery == nil {
+		return nil
+	}
+	names := []string{r.Cluster}
+	for _, p := range r.Split {
+		names = append(names, p.Cluster)
+	}
+	var list []resource.Endpoint
+	for _, name := range names {
+		if c := clusters[name]; c != nil {
+			list = append(list, o.discovery.Set(c.Service).Endpoints...)
+		}
+	}
+	return list
+}
--- a/plugin/operator/operator_test.go
+++ b/plugin/operator/operator_test.go
@@ -16,6 +16,7 @@
 	"github.com/celeryyard/celeryyard/core/change"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+	"github.com/celeryyard/celeryyard/plugin/catalog"
 	_ "github.com/celeryyard/celeryyard/plugin/operator" // registers itself
 )
 
@@ -50,6 +51,8 @@
 	t    *testing.T
 	addr string
 	log  *apitest.Quorum
+	// catalog takes whole configurations, which come from other front ends.
+	catalog *catalog.Catalog
 }
 
 func start(t *testing.T, more string) *server {
@@ -59,7 +62,7 @@
 	k, _ := kerneltest.Start(t, []string{"quorum", "distribution", "catalog", "operator"}, text, false)
 	// The server waits five seconds for a connection that never carried a request.
 	t.Cleanup(http.DefaultClient.CloseIdleConnections)
-	s := &server{t, addr, k.Service("quorum").(*apitest.Quorum)}
+	s := &server{t, addr, k.Service("quorum").(*apitest.Quorum), k.Service("catalog").(*catalog.Catalog)}
 	kerneltest.Wait(t, 5*time.Second, "operators' listener", func() bool {
 		r, err := http.Get("http://" + addr + "/v1/status")
 		if err == nil {
--- a/plugin/operator/reads.go
+++ b/plugin/operator/reads.go
@@ -113,9 +113,9 @@
 }
 
 // visible reports whether an operator may see a record: those of the own
-// organisation and those of templates, which are shared.
+// organisation and those of templates and whole configurations, which are shared.
 func visible(r *change.Record, who Identity) bool {
-	return r.Organisation == who.Organisation || r.Kind == change.KindTemplate
+	return r.Organisation == who.Organisation || r.Kind == change.KindTemplate || r.Kind == change.KindConfiguration
 }
 
 // redact removes the text of another organisation's refusal, which may name its
