--- a/plugin/quorum/faults_test.go
+++ b/plugin/quorum/faults_test.go
@@ -391,13 +391,17 @@
 // different entries at one index, proposals that take effect after they were
 // reported as not executed, two votes in one term, stale linearizable reads, and
 // knowledge that is taken for newer than it is.
-func TestSafetyUnderFaults(t *testing.T) {
-	p := gopter.DefaultTestParametersWithSeed(21)
-	p.MinSuccessfulTests = 16 * *long
+func TestSafetyUnderFaults(t *testing.T) { checkRuns(t, 21, 16, runFaults) }
+
+// checkRuns plays simulations of drawn seeds, -long times as many as told.
+func checkRuns(t *testing.T, first int64, times int, run func(seed uint64) *sim) {
+	t.Helper()
+	p := gopter.DefaultTestParametersWithSeed(first)
+	p.MinSuccessfulTests = times * *long
 	props := gopter.NewProperties(p)
 	accepted, replaced, unexecuted, leaders := 0, 0, 0, 0
 	props.Property("safe", prop.ForAll(func(seed uint64) string {
-		s := runFaults(seed)
+		s := run(seed)
 		accepted += len(s.accepted)
 		replaced += len(s.lost)
 		unexecuted += len(s.notRun)
--- a/plugin/quorum/open_test.go
+++ b/plugin/quorum/open_test.go
@@ -4,10 +4,6 @@
 	"fmt"
 	"testing"
 
-	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/gen"
-	"github.com/leanovate/gopter/prop"
-
 	"github.com/celeryyard/celeryyard/core/replog"
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
@@ -113,24 +109,7 @@
 // are replaced under other names, two leaders in one term, and a group that keeps
 // dead members or leaves living ones out.
 func TestOpenGroupUnderChurn(t *testing.T) {
-	p := gopter.DefaultTestParametersWithSeed(31)
-	p.MinSuccessfulTests = 12 * *long
-	props := gopter.NewProperties(p)
-	accepted, replaced, leaders, largest := 0, 0, 0, 0
-	props.Property("safe and settled", prop.ForAll(func(seed uint64) string {
-		s := runOpen(seed, []int{3, 5, 8, 16}[seed%4], 5000)
-		accepted += len(s.accepted)
-		replaced += len(s.lost)
-		leaders += len(s.leaders)
-		config := s.nodes[0].core.CommittedConfig()
-		largest = max(largest, len(config.Members))
-		if s.err != nil {
-			return s.err.Error()
-		}
-		return ""
-	}, gen.UInt64().WithShrinker(gopter.NoShrinker)))
-	props.TestingRun(t)
-	t.Logf("%d accepted proposals, %d terms with a leader, %d lost disks, at most %d members", accepted, leaders, replaced, largest)
+	checkRuns(t, 31, 12, func(seed uint64) *sim { return runOpen(seed, []int{3, 5, 8, 16}[seed%4], 5000) })
 }
 
 // Guards against a group whose decisions hold for few instances only: hundreds
