distribution: model of a large fleet

16 instances that lag differently and 120 nodes, 600 with -long, without a disk: restarts, moves, late, repeated and rejected updates. It checks what the small model checks.

--- a/plugin/distribution/model_test.go
+++ b/plugin/distribution/model_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -16,14 +17,16 @@
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
-// model runs the decisions of two instances and three nodes without any I/O.
+var long = flag.Int("long", 1, "factor by which property tests run longer")
+
+// model runs the decisions of instances and nodes without any I/O.
 type model struct {
 	rng  *rand.Rand
 	log  []func(f *fakeCatalog)
 	head *fakeCatalog
 	// states holds the configuration of each version.
 	states []*fakeCatalog
-	insts  [2]*modelInstance
+	insts  []*modelInstance
 	nodes  []*modelNode
 	truth  map[string]resource.EndpointSet
 	id     uint64
@@ -57,17 +60,20 @@
 	return &fakeCatalog{now: map[resource.Key]resource.Resource{}, gone: map[resource.Key]gone{}}
 }
 
-func newModel(seed int64) *model {
+// newModel has nodes of three kinds: subscribed to all, to one and to two services.
+func newModel(seed int64, instances, ofEachKind int) *model {
 	m := &model{rng: rand.New(rand.NewPCG(uint64(seed), 1)), head: newFakeCatalog(), truth: map[string]resource.EndpointSet{}, states: []*fakeCatalog{nil}}
-	for i := range m.insts {
-		m.insts[i] = &modelInstance{catalog: newFakeCatalog(), index: newIndex(), sets: map[string]*setState{}}
+	for range instances {
+		m.insts = append(m.insts, &modelInstance{catalog: newFakeCatalog(), index: newIndex(), sets: map[string]*setState{}})
 	}
 	m.change()
 	m.advance(m.insts[0], 1)
-	for _, services := range [][]string{{"*"}, {"s0"}, {"s1", "s2"}} {
-		n := &modelNode{services: services}
-		m.nodes = append(m.nodes, n)
-		m.attach(n, m.insts[0])
+	for range ofEachKind {
+		for _, services := range [][]string{{"*"}, {"s0"}, {"s1", "s2"}} {
+			n := &modelNode{services: services}
+			m.nodes = append(m.nodes, n)
+			m.attach(n, m.insts[0])
+		}
 	}
 	return m
 }
@@ -208,7 +214,7 @@
 }
 
 func (m *model) step(op int) error {
-	n, i := m.nodes[m.rng.IntN(len(m.nodes))], m.insts[m.rng.IntN(2)]
+	n, i := m.nodes[m.rng.IntN(len(m.nodes))], m.insts[m.rng.IntN(len(m.insts))]
 	switch op {
 	case 0:
 		m.change()
@@ -343,15 +349,13 @@
 	params.MinSuccessfulTests = 200
 	props := gopter.NewProperties(params)
 	props.Property("sessions deliver", prop.ForAllNoShrink(func(seed int64, ops []int) (bool, error) {
-		m := newModel(seed)
+		m := newModel(seed, 2, 1)
 		for _, op := range ops {
 			if err := m.step(op); err != nil {
 				return false, err
 			}
-			for _, n := range m.nodes {
-				if err := m.check(n); err != nil {
-					return false, err
-				}
+			if err := m.checkAll(); err != nil {
+				return false, err
 			}
 		}
 		err := m.finish()
@@ -359,3 +363,37 @@
 	}, gen.Int64(), gen.SliceOfN(120, gen.IntRange(0, 16))))
 	props.TestingRun(t)
 }
+
+// Guards against a fleet of hundreds of nodes whose parts end at different versions or
+// go back, when nodes without a disk restart and move between instances that lag
+// differently.
+func TestLargeFleetNeverGoesBack(t *testing.T) {
+	seeds, kinds, steps := 1, 40, 6000
+	if *long > 1 {
+		seeds, kinds, steps = *long, 200, 60000
+	}
+	for seed := range seeds {
+		m := newModel(int64(seed), 16, kinds)
+		for i := range steps {
+			err := m.step(m.rng.IntN(17))
+			if err == nil && i%(steps/20) == 0 {
+				err = m.checkAll()
+			}
+			if err != nil {
+				t.Fatalf("seed %d, step %d: %v", seed, i, err)
+			}
+		}
+		if err := m.finish(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+func (m *model) checkAll() error {
+	for _, n := range m.nodes {
+		if err := m.check(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
