session: connections of a replaced link no longer take the session

Cause: the job that announces a new connection of the first link can run after the node has moved to the link of another instance. It made the old link's connection that of the session; that connection is closed with its link, and the node had no session although the new link was connected, until the instance ended it after node_timeout (3 s). Both links connect at the same moment when all control instances return from a loss of power.

--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -135,7 +135,7 @@
 	moved := m.moved
 	s.mu.Unlock()
 	if moved {
-		s.up(c)
+		s.up(m, c)
 		return
 	}
 	h := &peerapi.Hello{Node: s.c.Instance.Name, Services: s.s.Services, Probe: true}
@@ -180,10 +180,10 @@
 	}
 	m.moved = true
 	old := s.link
-	s.link, s.candidate = m.link, nil
+	s.link, s.candidate, s.owner = m.link, nil, m
 	s.mu.Unlock()
 	s.c.Log.Log(evMoved).Str("process", c.Peer).Send()
-	s.up(c)
+	s.up(m, c)
 	if old != nil {
 		old.Close()
 	}
--- /dev/null
+++ b/plugin/session/move_test.go
@@ -0,0 +1,85 @@
+package session
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/peerapi"
+	"github.com/celeryyard/celeryyard/core/rpc"
+	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+	"github.com/celeryyard/celeryyard/plugin/peer"
+	_ "github.com/celeryyard/celeryyard/plugin/view" // registers itself
+)
+
+// instancePlugin answers nodes as a control instance that has nothing to send.
+type instancePlugin struct{}
+
+func (instancePlugin) Start(context.Context) error { return nil }
+func (instancePlugin) Stop(context.Context) error  { return nil }
+
+func init() {
+	kernel.Register(kernel.Registration{
+		Name: "instance", Needs: []string{"peer"},
+		New: func(c *kernel.Context) (kernel.Plugin, error) {
+			p := kernel.Use[*peer.Peer](c, "peer")
+			p.Handle(peerapi.NodeHello, func(_ *rpc.Conn, r *rpc.Request) {
+				r.Reply(&peerapi.HelloReply{Instance: c.Instance.Name})
+			})
+			p.Handle(peerapi.NodePing, func(_ *rpc.Conn, r *rpc.Request) { r.Reply(&peerapi.Pong{}) })
+			return instancePlugin{}, nil
+		},
+	})
+}
+
+// attachedSession is the session of a node that is attached to the only instance, and a
+// function that makes further connections to it.
+func attachedSession(t *testing.T) (s *Session, dial func() (*peer.Link, *rpc.Conn)) {
+	key, address := kerneltest.KeyFile(t), kerneltest.FreeAddress(t)
+	list := fmt.Sprintf(`[{"name": "control-0", "address": %q, "availability_zone": "z"}]`, address)
+	kerneltest.Start(t, []string{"peer", "instance"}, fmt.Sprintf(
+		`{"instance": {"name": "control-0", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"listen": %q, "instances": %s}}`, key, address, list), false)
+	k, _ := kerneltest.Start(t, []string{"peer", "view", "session"}, fmt.Sprintf(
+		`{"instance": {"name": "n1", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"instances": %s}, "session": {"ping_interval": "50ms"}}`, key, list), false)
+	s = k.Service("session").(*Session)
+	kerneltest.Wait(t, 5*time.Second, "session", s.Attached)
+	p := k.Service("peer").(*peer.Peer)
+	return s, func() (*peer.Link, *rpc.Conn) {
+		up := make(chan *rpc.Conn, 1)
+		l := p.ConnectAny(func(int) string { return address }, func(c *rpc.Conn) {
+			select {
+			case up <- c:
+			default:
+			}
+		})
+		return l, <-up
+	}
+}
+
+// Guards against a node that stays without a session for seconds while its connection is
+// fine: the connection of a link that a move has replaced came up last.
+func TestReplacedLinkDoesNotTakeTheSession(t *testing.T) {
+	s, dial := attachedSession(t)
+	candidate, moved := dial()
+	_, late := dial() // stands for the renewed connection of the first link
+	m := &move{s: s, targets: []instance{{name: "control-0"}}, link: candidate}
+	s.mu.Lock()
+	s.candidate = candidate
+	s.mu.Unlock()
+	m.take(moved)
+	s.up(nil, late)
+	late.Close()
+	<-late.Done()
+	kerneltest.Wait(t, 5*time.Second, "session after the move", s.Attached)
+	time.Sleep(200 * time.Millisecond) // the end of the late connection is told in a job
+	if !s.Attached() {
+		t.Error("the node has no session although its link is connected")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conn != moved {
+		t.Error("the session is not that of the link that it has moved to")
+	}
+}
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -65,8 +65,10 @@
 	// link makes the current connection; candidate one to an instance that may
 	// suit better.
 	link, candidate *peer.Link
-	conn            *rpc.Conn
-	attached        bool
+	// owner is the move that made link; nil for the first link.
+	owner    *move
+	conn     *rpc.Conn
+	attached bool
 	// isolated tells that the current instance does not reach the quorum.
 	isolated bool
 	// refused counts refused sessions in a row.
@@ -132,7 +134,7 @@
 		return errors.New("peer names no control instance")
 	}
 	s.arrange()
-	link := s.peer.ConnectAny(s.next, s.up)
+	link := s.peer.ConnectAny(s.next, func(c *rpc.Conn) { s.up(nil, c) })
 	s.mu.Lock()
 	s.link = link
 	s.mu.Unlock()
@@ -175,9 +177,16 @@
 	return choose(s.list, attempt, s.last).address
 }
 
-// up runs when a connection is made.
-func (s *Session) up(c *rpc.Conn) {
+// up runs when the link of the given owner has made a connection. The link may have been
+// replaced meanwhile: its connection must not take the place of the newer link's, which
+// nobody would attach again.
+func (s *Session) up(owner *move, c *rpc.Conn) {
 	s.mu.Lock()
+	if s.owner != owner {
+		s.mu.Unlock()
+		c.Close()
+		return
+	}
 	s.conn, s.attached, s.isolated, s.last = c, false, false, c.Peer
 	s.mu.Unlock()
 	if s.c.Next(stateKey, func() { s.hello(c) }) != nil {
