idempotency: repeat failed copies of claims, ask all recent holders

Both messages that carry the answer to the other holder had a limit of 1 s and were not repeated. Copies and the handover are now repeated until copy_timeout, except to holders that refuse connections.

--- a/plugin/idempotency/handover.go
+++ b/plugin/idempotency/handover.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/kernel/pool"
@@ -16,8 +20,9 @@
 	batchBytes   = 256 << 10
 )
 
-// copyTimeout bounds the copying of all claims after a change of the endpoints.
-const copyTimeout = 10 * time.Second
+// copyPause is the time between two passes of one copying. A holder that has
+// restarted listens again after some tenths of a second.
+const copyPause = 200 * time.Millisecond
 
 // without is the set without a node.
 func without(set *resource.EndpointSet, node string) *resource.EndpointSet {
@@ -84,18 +89,53 @@
 	return out
 }
 
+// copying is the copying of claims to their new holders. It makes passes until
+// each of them has its claims: a message that got no answer in time is repeated,
+// as a holder that misses an answer tells later that its call may have run.
+type copying struct {
+	// to opens a pass and returns what names the holders that a claim is copied to.
+	to func() targets
+	// done holds what was delivered or is needed no more.
+	done map[delivery]bool
+	// until bounds the passes.
+	until time.Time
+}
+
+// targets names the holders that a claim is copied to, by its identity and the nodes
+// that were asked to record it.
+type targets func(id string, other []httpcall.Target) []httpcall.Target
+
+// delivery is one claim at one holder.
+type delivery struct{ id, node string }
+
 // Handover gives all claims to the nodes that hold them once this one has left.
 // It blocks until they have them or ctx ends.
 func (p *Idempotency) Handover(ctx context.Context) {
+	until, ok := ctx.Deadline()
+	if !ok {
+		until = time.Now().Add(p.s.CopyTimeout.D())
+	}
+	k := &copying{done: map[delivery]bool{}, until: until, to: p.successors}
+	for !p.pass(ctx, k) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(copyPause):
+		}
+	}
+}
+
+// successors names the holders of the claims once this node has left.
+func (p *Idempotency) successors() targets {
 	rest := map[string]*resource.EndpointSet{}
 	if s := p.view.Current(); s != nil {
 		for name, set := range s.Sets {
 			rest[name] = without(set, p.c.Instance.Name)
 		}
 	}
-	p.copyClaims(ctx, func(id string, other []httpcall.Target) []httpcall.Target {
+	return func(id string, other []httpcall.Target) []httpcall.Target {
 		return successors(id, rest[serviceOf(id)], other)
-	})
+	}
 }
 
 // changed copies claims to nodes that became their holders, so that each claim
@@ -104,6 +144,12 @@
 	p.mu.Lock()
 	before := p.sets
 	p.sets = s.Sets
+	now := time.Now()
+	for name, set := range s.Sets {
+		if before[name] != set {
+			p.join(set, now)
+		}
+	}
 	concerned := false
 	for name := range p.services {
 		concerned = concerned || len(p.claims.records) > 0 && before[name] != s.Sets[name]
@@ -112,46 +158,89 @@
 	if !concerned || !p.started.Load() {
 		return
 	}
-	job := func() {
-		p.copyClaims(context.Background(), func(id string, _ []httpcall.Target) []httpcall.Target {
-			service := serviceOf(id)
-			old, now := before[service], s.Sets[service]
-			if old == nil || now == nil || old == now {
-				return nil
-			}
-			return newHolders(id, old, now, p.c.Instance.Name)
-		})
+	to := func(id string, _ []httpcall.Target) []httpcall.Target {
+		service := serviceOf(id)
+		old, now := before[service], s.Sets[service]
+		if old == nil || now == nil || old == now {
+			return nil
+		}
+		return p.present(service, newHolders(id, old, now, p.c.Instance.Name))
 	}
-	if err := p.pool.TrySubmit(&pool.Job{Key: "copy", Run: job}); err != nil {
+	p.copyLater(&copying{
+		done: map[delivery]bool{}, until: time.Now().Add(p.s.CopyTimeout.D()), to: func() targets { return to },
+	})
+}
+
+// present are the targets that are still ready in the present set.
+func (p *Idempotency) present(service string, targets []httpcall.Target) []httpcall.Target {
+	set := p.view.Current().Sets[service]
+	return slices.DeleteFunc(targets, func(t httpcall.Target) bool {
+		return set == nil || !slices.ContainsFunc(set.Endpoints, func(e resource.Endpoint) bool {
+			return e.Node == t.Node && e.Address == t.Address && e.State == resource.StateReady
+		})
+	})
+}
+
+// copyLater makes the passes as jobs, so that a holder that does not answer keeps
+// no worker between them.
+func (p *Idempotency) copyLater(k *copying) {
+	err := p.pool.TrySubmit(&pool.Job{Key: "copy", Run: func() {
+		if !p.pass(context.Background(), k) {
+			p.c.Clock.AfterFunc(copyPause, func() { p.copyLater(k) })
+		}
+	}})
+	if err != nil {
 		p.c.Log.Log(evUncopied).Err(err).Send()
 	}
 }
 
-// copyClaims sends each claim to the nodes that to returns for it.
-func (p *Idempotency) copyClaims(ctx context.Context, to func(id string, other []httpcall.Target) []httpcall.Target) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(copyTimeout)
-	}
-	sent, lost := 0, 0
-	for target, records := range p.copies(time.Now(), to) {
-		for _, b := range batches(records) {
-			limit := time.Now().Add(p.s.MessageTimeout.D())
-			if deadline.Before(limit) {
-				limit = deadline
-			}
-			r, err := p.send(ctx, target, &message{Op: opMerge, Records: b}, limit)
+// pass sends the claims that are not delivered yet and reports whether the copying
+// has ended. The first message that fails ends the pass for its holder. A holder that
+// refuses connections has ended; its next life counts as a new holder.
+func (p *Idempotency) pass(ctx context.Context, k *copying) (ended bool) {
+	sent, lost, gone := 0, 0, 0
+	for target, records := range p.copies(time.Now(), k) {
+		batches := batches(records)
+		for i, b := range batches {
+			r, err := p.send(ctx, target, &message{Op: opMerge, Records: b}, earlier(time.Now().Add(p.s.MessageTimeout.D()), k.until))
 			if err == nil && r.Result == ResultNew {
 				sent += len(b)
+				k.delivered(target, b)
 				continue
 			}
-			lost += len(b)
-			p.c.Log.Log(evUncopied).Str("holder", target.Node).Int("claims", len(b)).Err(err).Send()
+			left := 0
+			for _, rest := range batches[i:] {
+				left += len(rest)
+			}
+			lost += left
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				gone += left
+				for _, rest := range batches[i:] {
+					k.delivered(target, rest)
+				}
+			}
+			p.c.Log.Log(evUncopied).Str("holder", target.Node).Int("claims", left).Err(err).Send()
+			break
 		}
 	}
 	if sent+lost > 0 {
 		p.c.Log.Log(evCopied).Int("sent", sent).Int("failed", lost).Send()
 	}
+	return lost == gone || time.Now().Add(copyPause).After(k.until)
+}
+
+// delivered notes that a holder needs the records no more.
+func (k *copying) delivered(to httpcall.Target, records []Record) {
+	for i := range records {
+		k.done[delivery{records[i].ID, to.Node}] = true
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // held is a record with the nodes that were told of it.
@@ -160,14 +249,17 @@
 	other  []httpcall.Target
 }
 
-// copies returns the records for each target. The targets are computed without
-// the lock, as this takes some microseconds for each record.
-func (p *Idempotency) copies(now time.Time, to func(string, []httpcall.Target) []httpcall.Target) map[httpcall.Target][]Record {
+// copies returns the records for each target that are not delivered. The targets
+// are computed without the lock, as this takes some microseconds for each record.
+func (p *Idempotency) copies(now time.Time, k *copying) map[httpcall.Target][]Record {
 	out := map[httpcall.Target][]Record{}
+	to := k.to()
 	for _, h := range p.all(now) {
 		h.record.TTL = h.record.expires.Sub(now).Milliseconds()
 		for _, t := range to(h.record.ID, h.other) {
-			out[t] = append(out[t], h.record)
+			if !k.done[delivery{h.record.ID, t.Node}] {
+				out[t] = append(out[t], h.record)
+			}
 		}
 	}
 	return out
--- a/plugin/idempotency/join.go
+++ b/plugin/idempotency/join.go
@@ -10,14 +10,6 @@
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
-// joinWindow is how long a new holder counts as recent: as long as an earlier
-// holder may take to copy its claims.
-const joinWindow = copyTimeout
-
-// maxEarlier bounds the messages of one claim to earlier holders. It is reached only
-// when all endpoints of a service are recent, as after a start of the whole fleet.
-const maxEarlier = 4
-
 // joining is when the own endpoint was first seen as ready.
 type joining struct {
 	incarnation uint64
@@ -25,30 +17,36 @@
 	at          time.Time
 }
 
+// join notes since when the own endpoint of a service is ready. mu is held.
+func (p *Idempotency) join(set *resource.EndpointSet, now time.Time) {
+	own := p.own(set)
+	if own == nil {
+		return
+	}
+	if j := p.joined[set.Service]; j.incarnation != own.Incarnation || j.readySince != own.ReadySince {
+		p.joined[set.Service] = joining{own.Incarnation, own.ReadySince, now}
+	}
+}
+
 // recent reports whether the own endpoint of the service became ready within the
-// join window, or is not in the own view yet, so that claims of earlier holders
-// may be missing here. mu is held.
+// time that earlier holders have for copying their claims, or is not in the own view
+// yet, so that claims of earlier holders may be missing here. mu is held.
 func (p *Idempotency) recent(service string, now time.Time) bool {
-	own := p.own(service)
+	own := p.own(p.sets[service])
 	if own == nil {
 		return true
 	}
 	j := p.joined[service]
-	if j.incarnation != own.Incarnation || j.readySince != own.ReadySince {
-		j = joining{own.Incarnation, own.ReadySince, now}
-		p.joined[service] = j
-	}
-	return now.Sub(j.at) < joinWindow
+	return j.incarnation != own.Incarnation || j.readySince != own.ReadySince || now.Sub(j.at) < p.s.CopyTimeout.D()
 }
 
-// own is the endpoint of this node in its own view, or nil.
-func (p *Idempotency) own(service string) *resource.Endpoint {
-	s := p.view.Current()
-	if s == nil || s.Sets[service] == nil {
+// own is the endpoint of this node in a set, or nil.
+func (p *Idempotency) own(set *resource.EndpointSet) *resource.Endpoint {
+	if set == nil {
 		return nil
 	}
-	for i := range s.Sets[service].Endpoints {
-		if e := &s.Sets[service].Endpoints[i]; e.Node == p.c.Instance.Name {
+	for i := range set.Endpoints {
+		if e := &set.Endpoints[i]; e.Node == p.c.Instance.Name {
 			return e
 		}
 	}
@@ -67,47 +65,41 @@
 // recent. Several endpoints that become ready together replace both holders of a
 // claim, so none of them knows what ran before. Without the recent endpoints the
 // hash names the earlier holders; the call runs only if one of them does not know
-// its key, or if there is none.
+// its key, or if there is none. All endpoints of the service are asked when all are
+// recent, as after a start of the whole fleet: a bound would let a key run twice when
+// more endpoints than that become ready together. limit bounds the time instead.
 func (p *Idempotency) askEarlier(ctx context.Context, rec *Record, asked []string, limit time.Time) (Result, *Record, error) {
-	var failed error
-	for range maxEarlier {
-		to, ok := p.earlier(rec.ID, asked)
-		if !ok {
-			break
+	set := p.set(serviceOf(rec.ID))
+	for _, node := range asked {
+		set = without(set, node)
+	}
+	for {
+		e, _ := httpcall.Holders(set, rec.ID)
+		if e == nil {
+			return ResultNew, nil, nil
 		}
-		asked = append(asked, to.Node)
-		answer, err := p.ask(ctx, to, rec, limit)
+		set = without(set, e.Node)
+		answer, err := p.ask(ctx, httpcall.Target{Node: e.Node, Address: e.Address}, rec, limit)
 		switch {
 		case err != nil:
-			failed = errors.CombineErrors(failed, errors.Wrapf(err, "claim at the earlier holder %s", to.Node))
+			// The next one by the hash need not have been the backup, which is preferably
+			// in another availability zone.
+			p.Release(rec.ID)
+			return "", nil, errors.Wrapf(err, "claim at the earlier holder %s", e.Node)
 		case answer.Result != ResultNew:
 			return p.refused(rec, answer)
 		case !answer.Recent:
 			return ResultNew, nil, nil
 		}
 	}
-	if failed != nil {
-		p.Release(rec.ID)
-		return "", nil, failed
-	}
-	return ResultNew, nil, nil
 }
 
-// earlier is the primary holder of a claim among the endpoints that were not asked.
-func (p *Idempotency) earlier(id string, asked []string) (httpcall.Target, bool) {
-	s := p.view.Current()
-	if s == nil || s.Sets[serviceOf(id)] == nil {
-		return httpcall.Target{}, false
-	}
-	set := s.Sets[serviceOf(id)]
-	for _, node := range asked {
-		set = without(set, node)
-	}
-	e, _ := httpcall.Holders(set, id)
-	if e == nil {
-		return httpcall.Target{}, false
+// set is the present set of a service, or an empty one.
+func (p *Idempotency) set(service string) *resource.EndpointSet {
+	if s := p.view.Current(); s != nil && s.Sets[service] != nil {
+		return s.Sets[service]
 	}
-	return httpcall.Target{Node: e.Node, Address: e.Address}, true
+	return &resource.EndpointSet{Service: service}
 }
 
 // refused takes the answer of a holder that did not record an own claim.
--- a/plugin/idempotency/setup.go
+++ b/plugin/idempotency/setup.go
@@ -14,7 +14,7 @@
 		Settings: func() any {
 			return &Settings{
 				Keep: settings.Duration(10 * time.Minute), Claims: 20000, AnswerBytes: 16 << 20,
-				MessageTimeout: settings.Duration(time.Second), Workers: 4, Queue: 1024,
+				MessageTimeout: settings.Duration(time.Second), CopyTimeout: settings.Duration(10 * time.Second), Workers: 4, Queue: 1024,
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newIdempotency(c), nil },
@@ -30,6 +30,9 @@
 	AnswerBytes int `json:"answer_bytes"`
 	// MessageTimeout bounds a message to the other holder of a claim.
 	MessageTimeout settings.Duration `json:"message_timeout"`
+	// CopyTimeout bounds the copying of all claims after a change of the endpoints. An
+	// endpoint that is ready for a shorter time may miss claims.
+	CopyTimeout settings.Duration `json:"copy_timeout"`
 	// Workers send answers to the other holder; Queue bounds those that wait.
 	Workers int `json:"workers"`
 	Queue   int `json:"queue"`
@@ -46,6 +49,8 @@
 		return settings.Invalid("answer_bytes", "must not be negative")
 	case s.MessageTimeout <= 0:
 		return settings.Invalid("message_timeout", "must be positive")
+	case s.CopyTimeout < s.MessageTimeout:
+		return settings.Invalid("copy_timeout", "must not be below message_timeout")
 	case s.Workers < 1 || s.Workers > 64:
 		return settings.Invalid("workers", "%d is outside 1..64", s.Workers)
 	case s.Queue < 1:
--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -47,15 +47,17 @@
 	slots int
 	// plain leaves the relays out, which figures must not contain.
 	plain bool
-	route resource.Route
-	clust resource.Cluster
-	mu    sync.Mutex
-	nodes []*node
+	// copying is the time in which claims are copied to new holders.
+	copying time.Duration
+	route   resource.Route
+	clust   resource.Cluster
+	mu      sync.Mutex
+	nodes   []*node
 }
 
 func newFleet(t testing.TB, slots int) *fleet {
 	return &fleet{
-		t: t, key: kerneltest.KeyFile(t), slots: slots,
+		t: t, key: kerneltest.KeyFile(t), slots: slots, copying: 10 * time.Second,
 		route: resource.Route{TimeoutMillis: 2000, MaxAttempts: 3},
 		clust: resource.Cluster{Service: "svc", RetryBudgetPercent: 20, EjectAfter: 3},
 	}
@@ -103,8 +105,11 @@
 // start runs the node's process, again after a stop.
 func (f *fleet) start(n *node) {
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q},
-		"outbound": {"listen": %q}, "inbound": {"listen": %q}}`, n.name, n.zone, f.key, n.outbound, n.inbound)
+		"outbound": {"listen": %q}, "inbound": {"listen": %q},
+		"idempotency": {"message_timeout": %q, "copy_timeout": %q}}`, n.name, n.zone, f.key, n.outbound, n.inbound, min(time.Second, f.copying), f.copying)
 	n.kernel, n.stop = kerneltest.Start(f.t, []string{"peer", "view", "announce", "idempotency", "outbound", "inbound"}, text, false)
+	// At the end of the test the other nodes hand no claims to this one, which stops first.
+	f.t.Cleanup(n.relay.kill)
 	n.view = n.kernel.Service("view").(*fakeView)
 	n.announce = n.kernel.Service("announce").(*fakeAnnounce)
 	if n.upstream != nil {
--- a/test/dataplane/join_test.go
+++ b/test/dataplane/join_test.go
@@ -3,20 +3,21 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
-// joinedTogether has a node that held all claims and two that became ready at
-// the same moment. The first one has not heard of them, so it copies nothing.
-func joinedTogether(t *testing.T) (f *fleet, l *ledger, caller *node) {
+// joinedTogether has a node that held all claims and some in two zones that became
+// ready at the same moment. The first one has not heard of them, so it copies nothing.
+func joinedTogether(t *testing.T, joining int) (f *fleet, l *ledger, caller *node) {
 	l = &ledger{runs: map[string]int{}}
 	f = newFleet(t, 4)
 	f.add("n0", "z1", l)
 	caller = f.add("caller", "z1", nil)
-	for _, zone := range []string{"z1", "z2"} {
-		f.adopt(f.add("n-"+zone, zone, nil), l)
+	for i := range joining {
+		f.adopt(f.add(fmt.Sprintf("joining%d", i), fmt.Sprintf("z%d", 1+i%2), nil), l)
 	}
 	return f, l, caller
 }
@@ -24,7 +25,13 @@
 // Guards against a key that runs again at endpoints that joined together, before
 // its claim was copied to one of them.
 func TestKeyIsKnownToEndpointsThatJoinTogether(t *testing.T) {
-	f, l, caller := joinedTogether(t)
+	t.Run("2", func(t *testing.T) { joinTogether(t, 2) })
+	// More than a claim used to be asked for, so a key ran again.
+	t.Run("9", func(t *testing.T) { joinTogether(t, 9) })
+}
+
+func joinTogether(t *testing.T, joining int) {
+	f, l, caller := joinedTogether(t, joining)
 	first, joined := f.nodes[0], f.nodes[2:]
 	post := func(key string) answer {
 		return caller.call("POST", "north", "/"+key, "b", "idempotency-key", key)
@@ -64,7 +71,7 @@
 // Guards against keys that are refused, or whose claim is left behind as "may have
 // run", while an earlier holder does not answer.
 func TestKeyIsNotRunWhileItsEarlierHolderIsSilent(t *testing.T) {
-	f, l, caller := joinedTogether(t)
+	f, l, caller := joinedTogether(t, 2)
 	first, joined := f.nodes[0], f.nodes[2:]
 	first.deaf = true
 	for _, n := range joined {
@@ -95,3 +102,76 @@
 		t.Errorf("ran %d times", n)
 	}
 }
+
+// Guards against a key that runs again because its earlier primary holder is silent
+// and the next endpoint by the hash, which never held the claim, does not know it.
+func TestSilentEarlierHolderIsNotPassedOver(t *testing.T) {
+	l := &ledger{runs: map[string]int{}}
+	f := newFleet(t, 4)
+	f.copying = 500 * time.Millisecond
+	old := []*node{f.add("n0", "z1", l), f.add("n1", "z1", l), f.add("n2", "z2", l)}
+	caller := f.add("caller", "z1", nil)
+	for i, zone := range []string{"z1", "z2"} {
+		f.adopt(f.add(fmt.Sprintf("joining%d", i), zone, nil), l)
+	}
+	joining := f.nodes[4:]
+	before := caller.view.Current().Sets["svc"]
+	for _, n := range joining {
+		n.endpoint.State = resource.StateReady
+	}
+	f.publish()
+	key := ""
+	for i := 0; key == ""; i++ {
+		k := fmt.Sprintf("key%d", i)
+		id := httpcall.ClaimID("north", "svc", k)
+		p, b := httpcall.Holders(caller.view.Current().Sets["svc"], id)
+		first, _ := httpcall.Holders(before, id)
+		second, _ := httpcall.Holders(without(before, first.Node), id)
+		if isOneOf(joining, p.Node) && isOneOf(joining, b.Node) && first.AvailabilityZone == "z1" && second.AvailabilityZone == "z1" {
+			key = k
+		}
+	}
+	for _, n := range joining {
+		n.endpoint.State = resource.StateStarting
+	}
+	f.publish()
+	time.Sleep(2 * f.copying) // the endpoints of before are no longer recent
+	post := func() answer { return caller.call("POST", "north", "/"+key, "b", "idempotency-key", key) }
+	primary, _, _ := f.holders("north", key)
+	if got := post(); got.status != 200 {
+		t.Fatalf("first call: %+v", got)
+	}
+	for _, n := range old {
+		n.deaf = true // copies nothing
+	}
+	for _, n := range joining {
+		n.endpoint.State, n.endpoint.ReadySince = resource.StateReady, 2
+	}
+	f.publish()
+	primary.relay.kill()
+	if got := post(); got.status != 503 || got.verdict != "not-run" {
+		t.Errorf("repeat while the earlier holder is silent: %+v", got)
+	}
+	if n := l.count(key); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+func without(set *resource.EndpointSet, node string) *resource.EndpointSet {
+	out := &resource.EndpointSet{Service: set.Service}
+	for _, e := range set.Endpoints {
+		if e.Node != node {
+			out.Endpoints = append(out.Endpoints, e)
+		}
+	}
+	return out
+}
+
+func isOneOf(nodes []*node, name string) bool {
+	for _, n := range nodes {
+		if n.name == name {
+			return true
+		}
+	}
+	return false
+}
--- a/test/dataplane/relay_test.go
+++ b/test/dataplane/relay_test.go
@@ -16,6 +16,28 @@
 	mu      sync.Mutex
 	l       net.Listener
 	conns   map[net.Conn]bool
+	// gate is held while the relay forwards nothing.
+	gate sync.RWMutex
+}
+
+// gated reads through the gate of its relay.
+type gated struct {
+	io.Reader
+	gate *sync.RWMutex
+}
+
+func (g gated) Read(b []byte) (int, error) {
+	n, err := g.Reader.Read(b)
+	g.gate.RLock()
+	defer g.gate.RUnlock()
+	return n, err
+}
+
+// silence keeps connections open and forwards nothing until the returned function
+// is called.
+func (r *relay) silence() (end func()) {
+	r.gate.Lock()
+	return r.gate.Unlock
 }
 
 func newRelay(t testing.TB, address, to string) *relay {
@@ -61,7 +83,7 @@
 	r.mu.Unlock()
 	done := make(chan bool, 2)
 	pipe := func(to, from net.Conn) {
-		_, _ = io.Copy(to, from)
+		_, _ = io.Copy(to, gated{from, &r.gate})
 		done <- true
 	}
 	go pipe(a, b)
