operator: explain lists the endpoints of a divided route once

A route's Cluster is the first of its parts, so the endpoints of the first part were listed twice, and the command printed that part as the cluster of the whole route. TestServicesOfADividedRoute fails with the old list of names (Cluster and all parts).

--- a/cmd/celeryyard/table.go
+++ b/cmd/celeryyard/table.go
@@ -190,7 +190,7 @@
 	r, c := v.Route, v.Cluster
 	fmt.Fprintf(w, "route\t%s\nhost\t%s\npath prefix\t%s\nmethods\t%s\ntimeout\t%v\nattempts\t%d\n", r.Name, r.Match.Host, r.Match.PathPrefix,
 		strings.Join(r.Match.Methods, ", "), r.Timeout(), r.MaxAttempts)
-	if c != nil { // absent for a route that divides its requests
+	if c != nil && len(r.Split) == 0 {
 		fmt.Fprintf(w, "cluster\t%s\nservice\t%s\nretry budget\t%d %%\n", c.Name, c.Service, c.RetryBudgetPercent)
 	}
 	for _, p := range r.Split {
--- a/plugin/operator/explain.go
+++ b/plugin/operator/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/labstack/echo/v4"
 
@@ -77,15 +78,27 @@
 	if o.discovery == nil {
 		return nil
 	}
+	var list []resource.Endpoint
+	for _, service := range servicesOf(r, clusters) {
+		list = append(list, o.discovery.Set(service).Endpoints...)
+	}
+	return list
+}
+
+// servicesOf returns the services that a route leads to, each once.
+func servicesOf(r *resource.Route, clusters map[string]*resource.Cluster) []string {
 	names := []string{r.Cluster}
+	if len(r.Split) > 0 { // Cluster is its first part
+		names = nil
+	}
 	for _, p := range r.Split {
 		names = append(names, p.Cluster)
 	}
-	var list []resource.Endpoint
+	var services []string
 	for _, name := range names {
-		if c := clusters[name]; c != nil {
-			list = append(list, o.discovery.Set(c.Service).Endpoints...)
+		if c := clusters[name]; c != nil && !slices.Contains(services, c.Service) {
+			services = append(services, c.Service)
 		}
 	}
-	return list
+	return services
 }
--- /dev/null
+++ b/plugin/operator/explain_test.go
@@ -0,0 +1,26 @@
+package operator
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/celeryyard/celeryyard/core/resource"
+)
+
+// Guards against an explanation that lists the endpoints of a divided route's first
+// part twice.
+func TestServicesOfADividedRoute(t *testing.T) {
+	clusters := map[string]*resource.Cluster{"a": {Service: "first"}, "b": {Service: "second"}, "c": {Service: "first"}}
+	for _, c := range []struct {
+		route resource.Route
+		want  []string
+	}{
+		{resource.Route{Cluster: "a"}, []string{"first"}},
+		{resource.Route{Cluster: "a", Split: []resource.Share{{Cluster: "a"}, {Cluster: "b"}, {Cluster: "c"}}}, []string{"first", "second"}},
+		{resource.Route{Cluster: "unknown"}, nil},
+	} {
+		if got := servicesOf(&c.route, clusters); !slices.Equal(got, c.want) {
+			t.Errorf("%+v leads to %v, want %v", c.route, got, c.want)
+		}
+	}
+}
