idempotency: all endpoints that recorded a claim learn its outcome

When both holders of a key are recent, the claim is also recorded at endpoints that hold it no longer or never did. They were not told the outcome, so when the primary was back from a planned stop, they copied "running" to it, and a repeat that came before the copy of the answer was told that the call may have run. Finish and the handover now go to all that recorded the claim. TestAllThatWereAskedLearnTheAnswer fails before the change at each endpoint that was asked.

--- a/plugin/idempotency/handover.go
+++ b/plugin/idempotency/handover.go
@@ -35,24 +35,39 @@
 	return out
 }
 
-// successors are the holders of a claim once its present holder has left: those
-// of the remaining set, or the other holders when the set is not known.
+// successors are the nodes that need a record once its present holder has left: the
+// holders of the remaining set, and those of the remaining set that recorded the claim
+// as well, which otherwise go on to tell later holders that its call is running. When
+// the set is not known, they are all that recorded it.
 func successors(id string, rest *resource.EndpointSet, other []httpcall.Target) []httpcall.Target {
 	var out []httpcall.Target
-	if rest != nil {
-		primary, backup := httpcall.Holders(rest, id)
-		for _, e := range []*resource.Endpoint{primary, backup} {
-			if e != nil {
-				out = append(out, httpcall.Target{Node: e.Node, Address: e.Address})
-			}
+	if rest == nil {
+		return other
+	}
+	primary, backup := httpcall.Holders(rest, id)
+	for _, e := range []*resource.Endpoint{primary, backup} {
+		if e != nil {
+			out = append(out, httpcall.Target{Node: e.Node, Address: e.Address})
 		}
 	}
 	if len(out) == 0 {
 		return other
 	}
+	for _, t := range other {
+		if !slices.Contains(out, t) && ready(rest, t) {
+			out = append(out, t)
+		}
+	}
 	return out
 }
 
+// ready reports whether a set has a target as a ready endpoint.
+func ready(set *resource.EndpointSet, t httpcall.Target) bool {
+	return slices.ContainsFunc(set.Endpoints, func(e resource.Endpoint) bool {
+		return e.Node == t.Node && e.Address == t.Address && e.State == resource.StateReady
+	})
+}
+
 // newHolders are the holders of a claim in the set now that were not holders in
 // the set before; a restarted node has lost its table and counts as new.
 func newHolders(id string, before, now *resource.EndpointSet, self string) []httpcall.Target {
@@ -175,9 +190,7 @@
 func (p *Idempotency) present(service string, targets []httpcall.Target) []httpcall.Target {
 	set := p.view.Current().Sets[service]
 	return slices.DeleteFunc(targets, func(t httpcall.Target) bool {
-		return set == nil || !slices.ContainsFunc(set.Endpoints, func(e resource.Endpoint) bool {
-			return e.Node == t.Node && e.Address == t.Address && e.State == resource.StateReady
-		})
+		return set == nil || !ready(set, t)
 	})
 }
 
@@ -276,20 +289,16 @@
 	return list
 }
 
-// holdersOf returns the other holders of a claim at present: those of the set
-// when this node holds it, else those that recorded it.
+// holdersOf returns the other nodes that need the outcome of a claim: its holders in
+// the present set and those that recorded it.
 func (p *Idempotency) holdersOf(id string, other []httpcall.Target) []httpcall.Target {
-	s := p.view.Current()
-	if s == nil || s.Sets[serviceOf(id)] == nil {
-		return successors(id, nil, other)
-	}
-	var out []httpcall.Target
-	for _, t := range successors(id, s.Sets[serviceOf(id)], other) {
-		if t.Node != p.c.Instance.Name {
-			out = append(out, t)
-		}
+	var set *resource.EndpointSet
+	if s := p.view.Current(); s != nil {
+		set = s.Sets[serviceOf(id)]
 	}
-	return out
+	return slices.DeleteFunc(slices.Clone(successors(id, set, other)), func(t httpcall.Target) bool {
+		return t.Node == p.c.Instance.Name
+	})
 }
 
 // serviceOf returns the service in a claim's identity.
--- a/plugin/idempotency/plugin.go
+++ b/plugin/idempotency/plugin.go
@@ -202,8 +202,8 @@
 	return p.claims.records[id] != nil
 }
 
-// Finish records the outcome of a call that may have run and copies it to the
-// other holder without waiting for it.
+// Finish records the outcome of a call that may have run and copies it to all other
+// nodes that recorded its claim without waiting for them.
 func (p *Idempotency) Finish(id string, s State, a *Answer) {
 	p.mu.Lock()
 	r := p.claims.finish(id, s, a, time.Now(), p.s.Keep.D())
--- a/test/dataplane/join_test.go
+++ b/test/dataplane/join_test.go
@@ -157,6 +157,42 @@
 	}
 }
 
+// Guards against an endpoint that recorded a claim only because the holders had just
+// joined and never learns the answer: it copies "running" to later holders, which then
+// tell that the call may have run.
+func TestAllThatWereAskedLearnTheAnswer(t *testing.T) {
+	f, l := keyedFleet(t) // all endpoints are recent, so all are asked
+	caller := f.add("caller", "z1", nil)
+	post := func() answer { return caller.call("POST", "north", "/key", "b", "idempotency-key", "key") }
+	first := post()
+	if first.status != 200 || first.claim != "" {
+		t.Fatalf("first: %+v", first)
+	}
+	p, b := httpcall.Holders(caller.view.Current().Sets["svc"], httpcall.ClaimID("north", "svc", "key"))
+	for _, asked := range f.nodes[:4] {
+		if asked.name == p.Node || asked.name == b.Node {
+			continue
+		}
+		waitClaim(t, asked, "key")
+		for _, n := range f.nodes[:4] {
+			n.deaf = true // copies nothing
+			n.endpoint.State = resource.StateDraining
+		}
+		asked.deaf, asked.endpoint.State = false, resource.StateReady
+		f.publish() // only the asked one is left
+		var again answer
+		for end := time.Now().Add(2 * time.Second); again.claim != "replayed" && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			again = post()
+		}
+		if again.claim != "replayed" || again.body != first.body {
+			t.Errorf("repeat at %s, which was asked: %+v", asked.name, again)
+		}
+	}
+	if n := l.count("key"); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
 func without(set *resource.EndpointSet, node string) *resource.EndpointSet {
 	out := &resource.EndpointSet{Service: set.Service}
 	for _, e := range set.Endpoints {
