--- a/plugin/session/choose.go
+++ b/plugin/session/choose.go
@@ -71,3 +71,13 @@
 func movePause(mean time.Duration, rng *rand.Rand) time.Duration {
 	return mean/2 + time.Duration(rng.Int64N(int64(mean)+1))
 }
+
+// leavePause is the mean pause before the attempt to leave an instance that has lost
+// the quorum. Half an interval spreads the nodes of an instance like their pings do.
+func (s *Settings) leavePause() time.Duration { return s.PingInterval.D() / 2 }
+
+// LeaveWithin bounds the time from the moment at which an instance knows that it has
+// lost the quorum until its nodes try to leave it: a ping, and the longest pause.
+func (s *Settings) LeaveWithin() time.Duration {
+	return s.PingInterval.D() + s.leavePause()*3/2
+}
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -58,7 +58,7 @@
 	}
 	s.mu.Unlock()
 	if news {
-		s.c.After(movePause(s.s.PingInterval.D(), s.c.Rand()), "session/move", s.seek)
+		s.c.After(movePause(s.s.leavePause(), s.c.Rand()), "session/move", s.seek)
 	}
 }
 
