quorum: tell a founding configuration once it is saved, ignore answers of a former life

Two ways to a second group, both seen while a model of the founding was written. The first voter told its configuration before it was on its disk: after a crash it may compose another one when a voter has lost its disk meanwhile. And an answer of the first voter that arrives after it has lost its disk and asked again under its new identity made a member adopt the group of the lost disk.

--- a/plugin/quorum/faults_test.go
+++ b/plugin/quorum/faults_test.go
@@ -39,7 +39,7 @@
 		s.join(n)
 	case k < 997:
 		s.recover(n)
-	case !s.calm && s.rng.IntN(2) == 0:
+	case !s.calm && !s.driven && s.rng.IntN(2) == 0:
 		s.fault(n)
 	}
 }
--- a/plugin/quorum/found.go
+++ b/plugin/quorum/found.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
 
 // foundation is what a bootstrapping instance has learned from the others.
@@ -11,6 +12,11 @@
 	self   replog.Member
 	listed []string
 	ids    map[string]replog.MemberID
+	// composer is the identity with which the first listed voter asked last, round the
+	// number of such identities. An answer that was asked for in an earlier round may
+	// tell a configuration of the disk that the first voter has lost since.
+	composer replog.MemberID
+	round    uint64
 }
 
 // Outcomes of foundation.hear.
@@ -28,9 +34,12 @@
 
 // hear decides on an answer of the named instance. Only the first listed voter
 // composes the configuration; the others take it from an answer. So there is one
-// configuration even when an instance loses its disk meanwhile.
-func (f *foundation) hear(name string, a foundAnswer) (foundingStep, replog.Config) {
+// configuration even when an instance loses its disk meanwhile. round is that in which
+// the answer was asked for.
+func (f *foundation) hear(round uint64, name string, a foundAnswer) (foundingStep, replog.Config) {
 	switch {
+	case round != f.round:
+		return foundWait, replog.Config{}
 	case a.Exists && !a.Included:
 		return foundRefuse, replog.Config{}
 	case a.Exists && a.Config != nil:
@@ -64,3 +73,15 @@
 	}
 	return foundForm, config
 }
+
+// answer tells another member what this one knows of a group. f is nil once the member
+// no longer bootstraps.
+func (f *foundation) answer(core *raft.Core, self replog.MemberID, asker string, id replog.MemberID) foundAnswer {
+	if f != nil && asker == f.listed[0] && id != f.composer {
+		f.composer = id
+		f.round++
+	}
+	config, first := core.Founding()
+	_, included := config.Find(id)
+	return foundAnswer{ID: self, Bootstrap: f != nil, Exists: len(config.Members) > 0, Included: included, Config: first}
+}
--- a/plugin/quorum/join.go
+++ b/plugin/quorum/join.go
@@ -175,6 +175,7 @@
 	if q.found == nil {
 		return
 	}
+	round := q.found.round
 	q.ask("quorum.found", foundMessage{ID: q.member}, func(name string, raw []byte) {
 		var a foundAnswer
 		if json.Unmarshal(raw, &a) != nil {
@@ -182,7 +183,7 @@
 		}
 		q.submit(func(now raft.Instant) {
 			if q.found != nil {
-				step, config := q.found.hear(name, a)
+				step, config := q.found.hear(round, name, a)
 				q.founding(now, step, config)
 			}
 		})
@@ -212,16 +213,14 @@
 }
 
 // onFound tells another instance what is known of a group.
-func (q *Quorum) onFound(_ *rpc.Conn, r *rpc.Request) {
+func (q *Quorum) onFound(c *rpc.Conn, r *rpc.Request) {
 	var m foundMessage
 	if err := r.Decode(&m); err != nil {
 		r.Fail(rpc.CodeMalformed, err)
 		return
 	}
 	q.submit(func(raft.Instant) {
-		config := q.core.Config()
-		a := foundAnswer{ID: q.member, Bootstrap: q.found != nil, Exists: len(config.Members) > 0, Config: q.core.Founding()}
-		_, a.Included = config.Find(m.ID)
+		a := q.found.answer(q.core, q.member, c.Peer, m.ID)
 		q.call(func() { r.Reply(a) })
 	})
 }
--- a/plugin/quorum/raft/follow.go
+++ b/plugin/quorum/raft/follow.go
@@ -190,12 +190,17 @@
 	return true
 }
 
-// Founding returns the group's first configuration while no entry follows it in
-// a snapshot.
-func (c *Core) Founding() *replog.Config {
-	if c.log.snapshot.Index != 1 {
-		return nil
-	}
-	config := c.log.snapshot.Config
-	return &config
+// Founding returns the group's configuration as far as it survives a crash of this
+// member, and the first one while no entry follows it in a snapshot. A configuration
+// that is not saved yet must not be told: the member may compose another one after a
+// crash.
+func (c *Core) Founding() (config replog.Config, first *replog.Config) {
+	if c.install != nil {
+		return replog.Config{}, nil
+	}
+	if c.log.snapshot.Index == 1 {
+		config := c.log.snapshot.Config
+		first = &config
+	}
+	return c.Config(), first
 }
--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -81,6 +81,7 @@
 	net    []flight
 	side   map[string]int // part of the network; only equal ones reach each other
 	calm   bool           // no more faults
+	driven bool           // the test injects all faults of instances itself
 	nextID replog.MemberID
 	lost   map[replog.MemberID]bool // voters whose disk is lost
 	err    error
