--- a/plugin/idempotency/handover.go
+++ b/plugin/idempotency/handover.go
@@ -208,10 +208,11 @@
 }
 
 // pass sends the claims that are not delivered yet and reports whether the copying
-// has ended. The first message that fails ends the pass for its holder. A holder that
-// refuses connections has ended; its next life counts as a new holder.
+// has ended. The first message that fails ends the pass for its holder. It is useless to
+// repeat it to a holder whose table is full, or that refuses connections: that one has
+// ended, and its next life counts as a new holder.
 func (p *Idempotency) pass(ctx context.Context, k *copying) (ended bool) {
-	sent, lost, gone := 0, 0, 0
+	sent, lost, useless := 0, 0, 0
 	for target, records := range p.copies(time.Now(), k) {
 		batches := batches(records)
 		for i, b := range batches {
@@ -226,8 +227,8 @@
 				left += len(rest)
 			}
 			lost += left
-			if errors.Is(err, syscall.ECONNREFUSED) {
-				gone += left
+			if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+				useless += left
 				for _, rest := range batches[i:] {
 					k.delivered(target, rest)
 				}
@@ -239,7 +240,7 @@
 	if sent+lost > 0 {
 		p.c.Log.Log(evCopied).Int("sent", sent).Int("failed", lost).Send()
 	}
-	return lost == gone || time.Now().Add(copyPause).After(k.until)
+	return lost == useless || time.Now().Add(copyPause).After(k.until)
 }
 
 // delivered notes that a holder needs the records no more.
