httpcall: a call is not sent on a connection that refused its name

Cause: a refusal is told from other responses by the name of the call alone, and all dispatches of one attempt have the same name. A copy of the first refusal on a kept connection passes as the refusal of a second dispatch. A second dispatch to the same endpoint occurs when a call that waited for a slot is refused by the upstream and offered again, and when a caller repeats its name.

Change: what ties a refusal to its dispatch is that the connection has not carried a refusal of that name before. A connection remembers (as hashes) the names that were refused on it and is passed over for these; another kept one is used, or a new one when there is none. Nothing depends on clocks or on callers that keep their names unique. A connection is closed after 256 refusals, so its memory is at most 2 KiB and complete.

--- a/core/httpcall/client.go
+++ b/core/httpcall/client.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/celeryyard/celeryyard/core/rpc"
 	"github.com/celeryyard/celeryyard/kernel/rank"
@@ -66,11 +68,12 @@
 	return &Client{o: o, mu: rank.New(o.Rank), idle: map[string][]*conn{}}
 }
 
-// take returns a usable idle connection or nil. Unusable ones are closed.
-func (c *Client) take(address string, fresh time.Duration) *conn {
+// take returns a usable idle connection on which no call of the name was refused, or
+// nil. Unusable ones are closed.
+func (c *Client) take(address string, name uint64, fresh time.Duration) *conn {
 	now := time.Now()
 	for {
-		k := c.pop(address)
+		k := c.pop(address, name)
 		if k == nil {
 			return nil
 		}
@@ -82,17 +85,17 @@
 	}
 }
 
-func (c *Client) pop(address string) *conn {
+func (c *Client) pop(address string, name uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if k := list[i]; !slices.Contains(k.refused, name) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return k
+		}
 	}
-	k := list[len(list)-1]
-	list[len(list)-1] = nil
-	c.idle[address] = list[:len(list)-1]
-	return k
+	return nil
 }
 
 // put keeps a connection for the next call or closes it.
@@ -106,7 +109,7 @@
 func (c *Client) keep(k *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || len(c.idle[k.address]) >= c.o.MaxIdle {
+	if c.closed || len(c.idle[k.address]) >= c.o.MaxIdle || len(k.refused) >= maxRefused {
 		return false
 	}
 	c.idle[k.address] = append(c.idle[k.address], k)
@@ -154,7 +157,7 @@
 // open returns a connection: a kept one unless fresh is set, or a new one.
 func (c *Client) open(ctx context.Context, r *Request, fresh bool) (k *conn, reused bool, err error) {
 	if !fresh {
-		if k := c.take(r.To.Address, r.Fresh); k != nil {
+		if k := c.take(r.To.Address, xxhash.Sum64String(r.Name), r.Fresh); k != nil {
 			return k, true, nil
 		}
 	}
--- a/core/httpcall/conn.go
+++ b/core/httpcall/conn.go
@@ -29,8 +29,16 @@
 	// keep bounds the idle time as the other side has asked; 0 for no bound.
 	keep time.Duration
 	idle *idleCheck
+	// refused holds the hashes of the names of calls that were refused on the
+	// connection. Two names of one hash only cost a call another connection.
+	refused []uint64
 }
 
+// maxRefused bounds the refusals on one connection, which is closed after them: a
+// refusal that is forgotten could come once more. Under overload this costs one new
+// connection for so many refusals, and 2 KiB for each kept one.
+const maxRefused = 256
+
 // Write counts the bytes that the connection took.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/celeryyard/celeryyard/core/verdict"
@@ -32,6 +33,10 @@
 	// Skip tells that a response belongs to another request, so that the answer is
 	// still to come on the connection; nil takes the first response.
 	Skip func(*http.Response) bool
+	// Name is what the answer names the call by; empty when it names none. The
+	// call is not sent on a connection on which one of this name was refused: a copy
+	// of that refusal could not be told from the answer.
+	Name string
 	// Buffer makes Do read a body of up to this many bytes before it returns, so that
 	// a cut answer is a failure of the dispatch. A longer body is streamed. With it,
 	// a body that ends with its connection is taken as well.
@@ -49,6 +54,7 @@
 
 	client  *Client
 	conn    *conn
+	name    string
 	stop    func() bool
 	written chan error // nil when the body was sent before the answer was read
 	unblock func()
@@ -91,7 +97,7 @@
 func (c *Client) exchange(ctx context.Context, k *conn, r *Request) (*Exchange, *Failure) {
 	k.written = 0
 	k.secret.requests++
-	x := &Exchange{client: c, conn: k, unblock: r.Unblock}
+	x := &Exchange{client: c, conn: k, name: r.Name, unblock: r.Unblock}
 	err := k.SetDeadline(r.Deadline)
 	x.stop = context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
 	if err == nil {
@@ -319,6 +325,12 @@
 // KeepFor bounds how long the connection may be idle before its next use.
 func (x *Exchange) KeepFor(d time.Duration) { x.conn.keep = d }
 
+// Refused notes that the answer refused the call by its name. It must be called
+// before the exchange is finished.
+func (x *Exchange) Refused() {
+	x.conn.refused = append(x.conn.refused, xxhash.Sum64String(x.name))
+}
+
 // Drain reads the rest of a short response and finishes the exchange.
 func (x *Exchange) Drain() error {
 	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, KeepBytes))
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -225,6 +225,7 @@
 		To:   httpcall.Target{Address: c.upstream},
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.in.s.BufferBytes,
+		Name: c.sent.ID,
 		Skip: func(r *http.Response) bool { return c.in.dialect.ReadAnswer(r, c.sent).Kind == dialect.Foreign },
 	})
 	if f != nil {
@@ -267,6 +268,7 @@
 		c.in.noteLoad(x.Response.Header)
 		return x
 	}
+	x.Refused()
 	if x.Drain() != nil {
 		c.in.c.Log.Log(evCut).Str("id", c.info.ID).Send()
 	}
