dialect: only a refusal that names the call is believed

Cause: the platform's kindOf decided itself, and took "not run" and status 421 before it looked whether the response named the call. A call without a name believed any refusal.

Change: the platform's dialect only reads what a response states and which call it names; dialect.KindOf decides what is believed. A statement "not run" counts when the response names this call, else the call may have run. A response that names a call is foreign to a call without a name. The native dialect has no names and no refusals, as before.

The log line of a response that is not believed has its status.

--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -35,29 +35,31 @@
 	Upstream string
 }
 
-// Kind tells what an answer of an upstream is.
-type Kind int
+// Statement is what a response states, whichever request it belongs to.
+type Statement int
 
-// Kinds of answers.
+// Statements of responses.
 const (
-	// Own is the upstream's answer to the request, whatever its status.
-	Own Kind = iota
-	// Foreign belongs to another request; the answer may follow on the connection.
-	Foreign
-	// Rejected proves that the upstream did not run the request.
-	Rejected
-	// Misdirected proves that another upstream has the address and ran nothing.
-	Misdirected
-	// Spoiled is no valid answer: the request may have run.
-	Spoiled
+	// StatesResult is the result of a request, whatever the status.
+	StatesResult Statement = iota
+	// StatesNotRun is that the upstream did not run the request and never will.
+	StatesNotRun
+	// StatesOtherUpstream is that another upstream has the address and ran nothing.
+	StatesOtherUpstream
+	// StatesNothing means that the response is no valid one of an upstream.
+	StatesNothing
 )
 
 // Load is the load that an upstream reports of itself.
 type Load struct{ Running, Waiting, Slots int }
 
-// Answer is the meaning of an upstream's response.
+// Answer is what an upstream's response says. KindOf decides what of it is believed.
 type Answer struct {
-	Kind Kind
+	Statement Statement
+	// Named means that the upstreams of the dialect name the request in each response.
+	// ID is that name; empty when the response has none.
+	Named bool
+	ID    string
 	// Load is valid when HasLoad is set.
 	Load    Load
 	HasLoad bool
@@ -86,8 +88,8 @@
 	// Shorten removes the headers of a caller's request that WriteCall sets again at the
 	// node beside the upstream, so that they are not sent between nodes.
 	Shorten(h http.Header)
-	// ReadAnswer tells what a response to the dispatch is.
-	ReadAnswer(r *http.Response, d Dispatch) Answer
+	// ReadAnswer reads what a response says.
+	ReadAnswer(r *http.Response) Answer
 	// WriteRefusal sets the headers of an answer of the system itself.
 	WriteRefusal(h http.Header, f Refusal)
 }
@@ -126,7 +128,7 @@
 func (Native) Shorten(http.Header) {}
 
 // ReadAnswer implements Dialect.
-func (Native) ReadAnswer(*http.Response, Dispatch) Answer { return Answer{} }
+func (Native) ReadAnswer(*http.Response) Answer { return Answer{} }
 
 // WriteRefusal implements Dialect.
 func (Native) WriteRefusal(h http.Header, f Refusal) {
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -226,7 +226,9 @@
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.in.s.BufferBytes,
 		Name: c.sent.ID,
-		Skip: func(r *http.Response) bool { return c.in.dialect.ReadAnswer(r, c.sent).Kind == dialect.Foreign },
+		Skip: func(r *http.Response) bool {
+			return dialect.KindOf(c.in.dialect.ReadAnswer(r), c.sent) == dialect.Foreign
+		},
 	})
 	if f != nil {
 		c.failed = f
@@ -249,17 +251,17 @@
 // judge tells an answer of the upstream from proofs that it ran nothing and from
 // what is no answer; it returns nil for the latter two.
 func (c *call) judge(x *httpcall.Exchange, begin time.Time) *httpcall.Exchange {
-	a := c.in.dialect.ReadAnswer(x.Response, c.sent)
+	a := c.in.dialect.ReadAnswer(x.Response)
 	if a.Idle > 0 {
 		x.KeepFor(a.Idle)
 	}
-	switch a.Kind {
+	switch dialect.KindOf(a, c.sent) {
 	case dialect.Rejected:
 		c.failed = rejected(httpcall.ReasonUpstream, errors.Newf("the upstream did not run the call, status %d", x.Response.StatusCode))
 	case dialect.Misdirected:
 		c.failed = rejected(httpcall.ReasonIdentity, errors.New("another upstream has the address"))
 	case dialect.Spoiled, dialect.Foreign:
-		c.failed = httpcall.NewFailure(httpcall.KindCut, verdict.MayHaveRun, errors.New("the response is not a whole answer of the upstream"))
+		c.failed = httpcall.NewFailure(httpcall.KindCut, verdict.MayHaveRun, errors.Newf("the response, status %d, is no whole answer of the upstream to this call", x.Response.StatusCode))
 		x.Finish(false)
 		return nil
 	default:
