dialect: a promise that the endpoint does not make is not passed on

Cause: a 503 without the statement "not run", or with an empty one, counted as the endpoint's answer and was forwarded with its status.

Change: the dialect says whether callers take the status for that promise; a result with such a status is no answer that can be passed on. The call may have run: 502 without the endpoint's signature, or another attempt of a request that may run twice. The native dialect makes its promise by a header and still passes any status on.

--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -60,6 +60,9 @@
 	// ID is that name; empty when the response has none.
 	Named bool
 	ID    string
+	// Promise means that callers take the status for the promise that the request did
+	// not run and never will.
+	Promise bool
 	// Load is valid when HasLoad is set.
 	Load    Load
 	HasLoad bool
--- a/core/dialect/kind.go
+++ b/core/dialect/kind.go
@@ -21,7 +21,8 @@
 // connection proves nothing, as a faulty upstream writes some of them twice. What ties a
 // statement that the request did not run to the dispatch is the name in the response,
 // on a connection on which no call of that name was refused before; see
-// httpcall.Request.Name. Without a name the request may have run.
+// httpcall.Request.Name. Without a name the request may have run. A result whose
+// status is a promise to callers is not passed on: the upstream does not make it.
 func KindOf(a Answer, d Dispatch) Kind {
 	if a.Named && a.ID != d.ID {
 		if a.ID != "" {
@@ -30,7 +31,7 @@
 		return Spoiled
 	}
 	switch tied := a.Named && a.ID != ""; {
-	case a.Statement == StatesResult:
+	case a.Statement == StatesResult && !a.Promise:
 		return Own
 	case a.Statement == StatesNotRun && tied:
 		return Rejected
--- a/core/dialect/kind_test.go
+++ b/core/dialect/kind_test.go
@@ -27,5 +27,12 @@
 		if got := KindOf(tied, Dispatch{ID: "a"}); got != want {
 			t.Errorf("statement %d that names the request: kind %d, want %d", s, got, want)
 		}
+		tied.Promise = true
+		if want == Own {
+			want = Spoiled
+		}
+		if got := KindOf(tied, Dispatch{ID: "a"}); got != want {
+			t.Errorf("statement %d with the status of a promise: kind %d, want %d", s, got, want)
+		}
 	}
 }
