httpcall: a rejection that is not signed for the call is not passed on

A copy of a node's earlier rejection, or a forged one, was not believed, as the signature covers connection and request number.

Cause: after a failed check of the signature the exchange went on as answered.

Change: such a response is a failure that may have run, and its connection is closed. TestProofs asks for that; it wanted only that the failure is not NotRun.

Measured: TestProofs failed before ("forged rejection 0 was passed on with status 503") and passes; with the check of the signature off it fails as before.

--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -60,6 +60,9 @@
 	unblock func()
 }
 
+// errUnproven means that a rejection is not signed for this call.
+var errUnproven = errors.New("the rejection by the node is not one of this call")
+
 // proofMargin is kept of the time left, so that the proof that a call did not
 // start in time still arrives before this side gives up.
 const proofMargin = 5 * time.Millisecond
@@ -116,15 +119,18 @@
 	x.Response = resp
 	x.Early = err != nil || x.stillWriting()
 	if v := resp.Header.Get(headerRejected); v != "" && c.o.Authenticate {
-		if reason, ok := k.secret.verifyRejection(v); ok {
-			_ = x.Drain()
-			f := NewFailure(KindRejected, verdict.NotRun, errors.New("rejected by the node"))
-			f.Reason = reason
-			var l NodeLoad
-			l, f.HasLoad = ParseLoad(resp.Header.Get(HeaderLoad))
-			f.Load = l.Busy
-			return nil, f
+		reason, ok := k.secret.verifyRejection(v)
+		if !ok {
+			x.abort()
+			return nil, NewFailure(KindCut, verdict.MayHaveRun, errUnproven)
 		}
+		_ = x.Drain()
+		f := NewFailure(KindRejected, verdict.NotRun, errors.New("rejected by the node"))
+		f.Reason = reason
+		var l NodeLoad
+		l, f.HasLoad = ParseLoad(resp.Header.Get(HeaderLoad))
+		f.Load = l.Busy
+		return nil, f
 	}
 	return x, nil
 }
--- a/core/httpcall/httpcall_test.go
+++ b/core/httpcall/httpcall_test.go
@@ -244,10 +244,12 @@
 	}
 	for i := range 3 {
 		x, f := call(c, "n")
-		if f != nil {
+		if f == nil {
+			t.Fatalf("forged rejection %d was passed on with status %d", i, x.Response.StatusCode)
+		}
+		if f.Kind != KindCut || f.Verdict() != verdict.MayHaveRun {
 			t.Fatalf("forged rejection %d was believed: %v", i, f)
 		}
-		_ = x.Drain()
 	}
 	strangers(t, address, call, func() int { return step })
 }
