outbound: a call is not offered again to the upstream that refused it

Cause: after the first offers a call waits at the least busy of the endpoints that it asked, and this list kept an endpoint whose upstream refused the call. The other choices leave such an endpoint out. The list of tried endpoints had room for 8 of at most 14 dispatches.

Change: an upstream's refusal takes the endpoint off the list, and all dispatches have room.

--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -42,10 +42,11 @@
 	// aborted means that the answer was begun and cannot be completed.
 	aborted bool
 	queued  time.Time
-	// url, call and tried are parts of dispatches, kept here to save allocations.
+	// url, call and tried are parts of dispatches, kept here to save allocations. There is
+	// room in tried for all dispatches of a call.
 	url   url.URL
 	call  httpcall.Call
-	tried [8]*endpoint
+	tried [resource.MaxAttempts + maxOffers]*endpoint
 }
 
 var errNoEndpoint = errors.New("no endpoint of the service can take the call or has room for it")
--- a/plugin/outbound/offer.go
+++ b/plugin/outbound/offer.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -91,7 +92,7 @@
 	w := wish{organisation: c.route.Organisation, priority: c.route.Priority, tried: tried}
 	// A call that found an endpoint of its zone busy asks another one there or waits; it
 	// leaves the zone by the load of the zones, not by that of one endpoint.
-	w.local = c.stage == stageSecond && c.o.table.local(c.busy[0])
+	w.local = c.stage == stageSecond && len(c.busy) > 0 && c.o.table.local(c.busy[0])
 	c.o.classes.spill(&w, c.route.Name)
 	return c.o.table.pick(c.cluster, w, now)
 }
@@ -116,6 +117,12 @@
 	if f.HasLoad {
 		c.o.table.measured(e, f.Load, now)
 	}
+	if f.Reason == httpcall.ReasonUpstream {
+		// The call was at this upstream. A second refusal by it could be a copy of the
+		// first one, so the call does not wait there again.
+		c.busy = slices.DeleteFunc(c.busy, func(b *endpoint) bool { return b.Node == e.Node })
+		return
+	}
 	if f.Reason != httpcall.ReasonWait && f.Reason != httpcall.ReasonFull {
 		return
 	}
