test: heads without end, refusals without their body, cut answers

Bytes that are no answer may come without end. The heads of upstream answers are read until the deadline: 32 connections with one header line of 4 MB each take 243 MiB of heap. A refusal whose body does not come is answered 504 at the deadline although its head held the proof (503 was due).

--- /dev/null
+++ b/core/httpcall/bounds_test.go
@@ -0,0 +1,187 @@
+package httpcall
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/kernel/rank"
+)
+
+// endlessBytes is what a connection of the tests sends of a head without end. It
+// bounds the memory of a test that fails.
+const endlessBytes = 4 << 20
+
+// endless lists heads whose end does not come; part is sent again and again.
+var endless = map[string]struct{ begin, part string }{
+	"one line":        {"HTTP/1.1 200 OK\r\nA: ", strings.Repeat("x", 1<<10)},
+	"status line":     {"HTTP/1.1 200 ", strings.Repeat("x", 1<<10)},
+	"many lines":      {"HTTP/1.1 200 OK\r\n", strings.Repeat("Ab: c\r\n", 150)},
+	"short lines":     {"HTTP/1.1 200 OK\r\n", strings.Repeat("a:\n", 300)},
+	"continued line":  {"HTTP/1.1 200 OK\r\nA: b\r\n", strings.Repeat(" c\r\n", 250)},
+	"interim answers": {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 40)},
+	"interim head":    {"HTTP/1.1 103 Early Hints\r\n", strings.Repeat("Link: c\r\n", 110)},
+}
+
+// streamHead sends a head without end and keeps the connection open until quit.
+func streamHead(c net.Conn, begin, part string, quit <-chan struct{}) {
+	_, err := io.WriteString(c, begin)
+	for n := 0; n < endlessBytes && err == nil; n += len(part) {
+		_, err = io.WriteString(c, part)
+	}
+	<-quit
+}
+
+// Guards against a head without end that is read until the deadline: the process
+// then holds all of it, and the call fails late.
+func TestEndlessHeadsEndTheExchange(t *testing.T) {
+	for name, e := range endless {
+		quit := make(chan struct{})
+		address, _ := scripted(t, func(c net.Conn, _ int) { streamHead(c, e.begin, e.part, quit) })
+		c := NewClient(ClientOptions{Rank: rank.Routing})
+		x, f := get(c, address)
+		switch {
+		case f == nil:
+			t.Errorf("%s: answer %v", name, x.Response.Status)
+			x.Finish(false)
+		case f.Kind != KindCut || f.Verdict() != verdict.MayHaveRun:
+			t.Errorf("%s: %v, want a cut that may have run", name, f)
+		}
+		if len(c.idle[address]) > 0 {
+			t.Errorf("%s: the connection was kept", name)
+		}
+		c.Close()
+		close(quit)
+	}
+}
+
+// Guards against heads whose many short fields fit the bytes: each field costs a
+// multiple of its bytes in memory.
+func TestFieldsOfAHeadAreBounded(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n")
+	for i := range 3000 {
+		b.WriteString(string(rune('A'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676)) + ":\n")
+	}
+	b.WriteString("\r\n")
+	address, _ := scripted(t, func(c net.Conn, _ int) { _, _ = io.WriteString(c, b.String()) })
+	c := NewClient(ClientOptions{Rank: rank.Routing})
+	defer c.Close()
+	if x, f := get(c, address); f == nil {
+		t.Errorf("a head of %d bytes with %d fields was accepted", b.Len(), len(x.Response.Header))
+		x.Finish(false)
+	} else if f.Kind != KindCut || f.Verdict() != verdict.MayHaveRun {
+		t.Errorf("%v, want a cut that may have run", f)
+	}
+}
+
+// Guards against a faulty upstream that takes the memory of the whole node: 32
+// connections send heads without end at a time.
+func TestMemoryOfEndlessHeads(t *testing.T) {
+	const conns, limit = 32, 64 << 20
+	e := endless["one line"]
+	quit := make(chan struct{})
+	defer close(quit)
+	address, _ := scripted(t, func(c net.Conn, _ int) { streamHead(c, e.begin, e.part, quit) })
+	c := NewClient(ClientOptions{Rank: rank.Routing})
+	defer c.Close()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	for range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if x, f := get(c, address); f == nil {
+				x.Finish(false)
+			}
+		}()
+	}
+	wg.Wait()
+	runtime.ReadMemStats(&after)
+	// HeapSys never shrinks, so it tells the peak.
+	grown := int64(after.HeapSys) - int64(before.HeapSys)
+	t.Logf("heap taken from the system grew by %d KiB", grown>>10)
+	if grown > limit {
+		t.Errorf("heap taken from the system grew by %d MiB, the limit is %d", grown>>20, limit>>20)
+	}
+}
+
+// Guards against a proof that the call did not run which is held back until the
+// deadline because the body of the rejection does not come.
+func TestRejectionDoesNotWaitForItsBody(t *testing.T) {
+	quit := make(chan struct{})
+	a := &Acceptor{Key: testKey, Node: "n"}
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := a.Accept(w, r)
+		if s == nil {
+			return
+		}
+		w.Header().Set("Content-Length", "10")
+		s.Reject(w, ReasonFull)
+		_ = http.NewResponseController(w).Flush()
+		<-quit
+	}))
+	srv.Config.ConnContext = a.ConnContext
+	srv.Start()
+	defer srv.Close()
+	defer close(quit)
+	c := NewClient(ClientOptions{Rank: rank.Routing, Authenticate: true, Key: testKey})
+	defer c.Close()
+	for _, buffer := range []int{0, 1 << 10} {
+		r := request(srv.Listener.Addr().String())
+		r.Call, r.Buffer = &Call{Service: "s", Organisation: "o"}, buffer
+		_, f := c.Do(t.Context(), r)
+		if f == nil || f.Kind != KindRejected || f.Reason != ReasonFull || f.Verdict() != verdict.NotRun {
+			t.Errorf("buffer %d: %v, want the rejection", buffer, f)
+		}
+		if !time.Now().Before(r.Deadline) {
+			t.Errorf("buffer %d: the rejection was held until the deadline", buffer)
+		}
+	}
+}
+
+// Guards against an answer between nodes that is taken for whole though it has
+// neither a length nor chunks: nodes always send one of them.
+func TestAnswersOfNodesAreFramed(t *testing.T) {
+	a := &Acceptor{Key: testKey, Node: "n"}
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.Accept(w, r) == nil {
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nok")
+		_ = c.Close()
+	}))
+	srv.Config.ConnContext = a.ConnContext
+	srv.Start()
+	defer srv.Close()
+	c := NewClient(ClientOptions{Rank: rank.Routing, Authenticate: true, Key: testKey})
+	defer c.Close()
+	r := request(srv.Listener.Addr().String())
+	r.Call, r.Buffer = &Call{Service: "s", Organisation: "o"}, 1<<10
+	if x, f := c.Do(t.Context(), r); f == nil {
+		t.Errorf("answer %v was accepted", x.Response.Status)
+		x.Finish(false)
+	} else if f.Kind != KindCut || f.Verdict() != verdict.MayHaveRun {
+		t.Errorf("%v, want a cut that may have run", f)
+	}
+}
+
+func request(address string) *Request {
+	r, _ := http.NewRequest(http.MethodGet, "/", nil)
+	r.Host = "h"
+	return &Request{To: Target{Address: address}, Deadline: time.Now().Add(2 * time.Second), HTTP: r}
+}
--- /dev/null
+++ b/plugin/announce/probe_test.go
@@ -0,0 +1,53 @@
+package announce
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against probes that accept megabytes of a head, and against a result that
+// waits for a body which does not come: the head decides.
+func TestProbesAreDecidedByABoundedHead(t *testing.T) {
+	const timeout = 2 * time.Second
+	for name, tc := range map[string]struct {
+		answer string
+		want   result
+	}{
+		"small":         {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", probeOK},
+		"failing":       {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 10\r\n\r\n", probeNegative},
+		"body missing":  {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", probeOK},
+		"chunk missing": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", probeOK},
+		"large head":    {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: " + strings.Repeat("x", 1<<20) + "\r\n\r\n", probeRefused},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		quit := make(chan struct{})
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, tc.answer)
+				<-quit
+			}
+		}()
+		a := &Announce{client: newClient(timeout), ctx: context.Background()}
+		begin := time.Now()
+		got := a.get("http://" + l.Addr().String() + "/")
+		if took := time.Since(begin); got != tc.want || took >= timeout {
+			t.Errorf("%s: result %v after %v, want %v before %v", name, got, took, tc.want, timeout)
+		}
+		close(quit)
+		_ = l.Close()
+	}
+}
