httpcall, httponce: heads of answers are bounded

One upstream that sent a head without end took the memory of its node, and with it every call there: 32 connections with one header line of 4 MB each took 243 MiB of heap, and the calls failed at their deadline. http.ReadResponse has no bound of its own.

core/httphead reads heads of at most 16 KiB (the users' maxHeaderBytes) and 256 lines, 24 KiB and 272 lines between nodes. It counts on the way from the connection to the parser, interim answers and greetings included, so it holds no bytes of its own. At the bound the connection is closed and the dispatch fails as a cut that may have run, which counts against the endpoint like any cut.

A head with 4,001 fields of 5 bytes would hold 471 KB, hence the bound of lines.

--- a/core/httpcall/conn.go
+++ b/core/httpcall/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/core/netconn"
 )
 
@@ -18,7 +19,7 @@
 type conn struct {
 	net.Conn
 	address string
-	br      *bufio.Reader
+	br      *httphead.Reader
 	bw      *bufio.Writer
 	// written counts the bytes of the current exchange that met the connection.
 	written int64
@@ -58,7 +59,11 @@
 		return nil, err
 	}
 	k := &conn{Conn: nc, address: to.Address, idle: newIdleCheck(nc)}
-	k.br, k.bw = bufio.NewReader(nc), bufio.NewWriter(k)
+	limits := httphead.Outside
+	if c.o.Authenticate {
+		limits = httphead.Nodes
+	}
+	k.br, k.bw = httphead.NewReader(nc, limits), bufio.NewWriter(k)
 	if !c.o.Authenticate {
 		return k, nil
 	}
@@ -91,7 +96,7 @@
 	if err := c.bw.Flush(); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(c.br, r)
+	resp, err := c.br.ReadResponse(r)
 	if err != nil {
 		return err
 	}
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -257,7 +257,7 @@
 // readHead reads the head of a final response.
 func (x *Exchange) readHead(h *http.Request, unframed bool) (*http.Response, error) {
 	for range 8 { // bounds the interim responses of a faulty upstream
-		resp, err := http.ReadResponse(x.conn.br, h)
+		resp, err := x.conn.br.ReadResponse(h)
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/core/httphead/httphead_test.go
@@ -0,0 +1,163 @@
+package httphead
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"reflect"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Guards against bounds that are missed because of how a head is split into reads or
+// what follows it.
+func TestBoundsOfAHead(t *testing.T) {
+	const begin = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+	line := func(n int) string { return "A: " + strings.Repeat("x", n-5) + "\r\n" }
+	fit := begin + line(MaxBytes-len(begin)-2) + "\r\n"
+	for name, tc := range map[string]struct {
+		text string
+		want error
+	}{
+		"small":             {begin + "\r\nok", nil},
+		"bytes at bound":    {fit + "ok", nil},
+		"bytes above bound": {begin + line(MaxBytes-len(begin)-1) + "\r\nok", ErrTooLarge},
+		"lines at bound":    {begin + strings.Repeat("a:\n", MaxLines-3) + "\r\nok", nil},
+		"lines above bound": {begin + strings.Repeat("a:\n", MaxLines-2) + "\r\nok", ErrTooLarge},
+		"long body":         {"HTTP/1.1 200 OK\r\nContent-Length: 40000\r\n\r\n" + strings.Repeat("\n", 40000), nil},
+	} {
+		for kind, wrap := range map[string]func(io.Reader) io.Reader{
+			"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader, "end with data": iotest.DataErrReader,
+		} {
+			h := NewReader(wrap(strings.NewReader(tc.text)), Outside)
+			resp, err := h.ReadResponse(nil)
+			if !errors.Is(err, tc.want) {
+				t.Errorf("%s, %s: %v, want %v", name, kind, err, tc.want)
+			}
+			if err == nil {
+				if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != resp.ContentLength {
+					t.Errorf("%s, %s: body of %d bytes, %v", name, kind, n, err)
+				}
+			}
+		}
+	}
+}
+
+// Guards against answers behind each other on a connection whose bytes count for the
+// head of the next one.
+func TestHeadsBehindEachOther(t *testing.T) {
+	const one = "HTTP/1.1 200 OK\r\nContent-Length: 300\r\n\r\n"
+	text := strings.Repeat(one+strings.Repeat("\n", 300), 500)
+	h := NewReader(strings.NewReader(text), Outside)
+	for i := range 500 {
+		resp, err := h.ReadResponse(nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); n != 300 || err != nil {
+			t.Fatalf("answer %d: body of %d bytes, %v", i, n, err)
+		}
+	}
+}
+
+// Guards against a head that is taken for whole at the end of its connection.
+func TestCutHeadsFail(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 1234\r\n\r\n", "HTTP/1.1 200 OK\nA: b\n c\nX: y\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n \r\n\r\n",
+	} {
+		for n := range len(head) {
+			if resp, err := NewReader(strings.NewReader(head[:n]), Outside).ReadResponse(nil); err == nil {
+				t.Errorf("%q was accepted: %v", head[:n], resp.Header)
+			}
+		}
+	}
+}
+
+// FuzzReadResponse checks that bounded heads are read as net/http reads them, and
+// that others take no more than the bound.
+func FuzzReadResponse(f *testing.F) {
+	for _, s := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\nA: b\n c\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n \r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\r\n\r\n", "HTTP/1.0 200\r\n\r\n" + strings.Repeat("a:\n", 300), strings.Repeat("x", 20000), "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\n", 300),
+	} {
+		f.Add([]byte(s), false)
+		f.Add([]byte(s), true)
+	}
+	f.Fuzz(func(t *testing.T, b []byte, single bool) {
+		in := &counted{r: bytes.NewReader(b)}
+		var r io.Reader = in
+		if single {
+			r = iotest.OneByteReader(in)
+		}
+		got, err := NewReader(r, Outside).ReadResponse(nil)
+		want, plain := http.ReadResponse(bufio.NewReader(bytes.NewReader(b)), nil)
+		if err == nil && plain != nil {
+			t.Fatalf("accepted what net/http refuses: %v", plain)
+		}
+		if err != nil && plain == nil && !errors.Is(err, ErrTooLarge) {
+			t.Fatalf("refused what net/http accepts: %v", err)
+		}
+		if err == nil && (got.Status != want.Status || got.ContentLength != want.ContentLength || !reflect.DeepEqual(got.Header, want.Header)) {
+			t.Fatalf("read %+v, want %+v", got, want)
+		}
+		if in.n > MaxBytes+4096 {
+			t.Fatalf("read %d bytes of a head", in.n)
+		}
+		if err == nil {
+			lines := 0
+			for _, v := range got.Header {
+				lines += len(v)
+			}
+			if lines > MaxLines {
+				t.Fatalf("head with %d fields was accepted", lines)
+			}
+		}
+	})
+}
+
+// counted counts what was read.
+type counted struct {
+	r io.Reader
+	n int
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n += n
+	return n, err
+}
+
+// Guards against a bound of lines that leaves the worst head too large: 100
+// connections of one upstream that hold such heads must fit a node.
+func TestMemoryOfTheLargestHeads(t *testing.T) {
+	const conns, limit = 100, 8 << 20
+	var b strings.Builder
+	b.WriteString("HTTP/1.1 200 OK\r\n")
+	for i := range MaxLines - 2 {
+		b.WriteString(string(rune('A'+i%26)) + string(rune('a'+i/26)) + ": " + strings.Repeat("x", MaxBytes/MaxLines-8) + "\n")
+	}
+	b.WriteString("\r\n")
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	held := make([]*http.Response, conns)
+	for i := range held {
+		var err error
+		if held[i], err = NewReader(strings.NewReader(b.String()), Outside).ReadResponse(nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	grown := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d heads of %d bytes and %d fields hold %d KiB", conns, b.Len(), len(held[0].Header), grown>>10)
+	if grown > limit {
+		t.Errorf("%d heads hold %d KiB, the limit is %d", conns, grown>>10, limit>>10)
+	}
+}
--- a/core/httponce/httponce.go
+++ b/core/httponce/httponce.go
@@ -4,7 +4,6 @@
 package httponce
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -14,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/core/verdict"
 )
 
@@ -43,7 +43,7 @@
 
 type conn struct {
 	net.Conn
-	r     *bufio.Reader
+	r     *httphead.Reader
 	wrote int64
 	since time.Time
 }
@@ -92,7 +92,7 @@
 	if err := req.Write(cn); err != nil {
 		return nil, false, errors.Wrap(err, "send request")
 	}
-	resp, err := http.ReadResponse(cn.r, req)
+	resp, err := cn.r.ReadResponse(req)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "read answer")
 	}
@@ -129,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReader(nc)}, nil
+	return &conn{Conn: nc, r: httphead.NewReader(nc, httphead.Outside)}, nil
 }
 
 // pop returns the idle connection used last, if it is young enough.
