servers, probes, command: one bound of heads

Callers and nodes could send heads of 1 MB, the default of net/http, and probes and the operators' command took answers whose heads have 10 MB. Every http.Server and http.Transport now takes the bound of core/httphead: 16 KiB, 24 KiB on the listener for nodes, whose requests carry a forwarded head.

--- a/cmd/celeryyard/client.go
+++ b/cmd/celeryyard/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
 
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/kernel"
 )
 
@@ -78,7 +79,7 @@
 	c.token = strings.TrimSpace(string(token))
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	c.http = &http.Client{
-		Transport:     &http.Transport{DialContext: dialer.DialContext, Proxy: nil, MaxIdleConnsPerHost: 1},
+		Transport:     &http.Transport{DialContext: dialer.DialContext, Proxy: nil, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: httphead.MaxBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	return c, nil
--- a/plugin/admin/plugin.go
+++ b/plugin/admin/plugin.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/kernel"
 )
 
@@ -53,7 +54,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for administration")
 	}
-	a.server = &http.Server{Handler: a.echo, ReadHeaderTimeout: readHeaderTimeout}
+	a.server = &http.Server{Handler: a.echo, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: httphead.MaxBytes}
 	a.c.Serve(a.server, l)
 	return nil
 }
--- a/plugin/announce/http.go
+++ b/plugin/announce/http.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
 	"github.com/labstack/echo/v4"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 // maxBody bounds the description of an upstream in a request.
@@ -28,7 +30,7 @@
 	e := echo.New()
 	e.PUT("/v1/upstream", a.putUpstream)
 	e.DELETE("/v1/upstream", a.deleteUpstream)
-	a.server = &http.Server{Handler: e, ReadTimeout: readTimeout}
+	a.server = &http.Server{Handler: e, ReadTimeout: readTimeout, MaxHeaderBytes: httphead.MaxBytes}
 	a.c.Serve(a.server, l)
 	return nil
 }
--- a/plugin/announce/probe.go
+++ b/plugin/announce/probe.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 // maxProbeBody bounds what is read of the answer to a probe.
@@ -19,7 +21,7 @@
 	return &http.Client{
 		Timeout:       timeout,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return errRedirect },
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true},
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: httphead.MaxBytes},
 	}
 }
 
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -18,6 +18,7 @@
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
@@ -125,7 +126,7 @@
 	}
 	in.server = &http.Server{
 		Handler: in, ConnContext: in.acceptor.ConnContext,
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: in.s.NodeIdle.D(),
+		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: in.s.NodeIdle.D(), MaxHeaderBytes: httphead.NodeBytes,
 	}
 	in.c.Every("inbound/idle", idleCheck, func() { in.client.CloseIdle(func(string) bool { return false }) })
 	in.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/celeryyard/celeryyard/core/api"
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/settings"
@@ -32,10 +33,9 @@
 
 // Bounds of a connection of an operator.
 const (
-	readTimeout    = 10 * time.Second
-	idleTimeout    = 60 * time.Second
-	writeTimeout   = maxTimeout + 10*time.Second
-	maxHeaderBytes = 16 << 10
+	readTimeout  = 10 * time.Second
+	idleTimeout  = 60 * time.Second
+	writeTimeout = maxTimeout + 10*time.Second
 	// maxConnections bounds the memory of connections that have not yet shown a
 	// token; further ones wait in the listener's backlog.
 	maxConnections = 1024
@@ -113,7 +113,7 @@
 	l = netutil.LimitListener(l, maxConnections)
 	o.server = &http.Server{
 		Handler: o.echo, ReadHeaderTimeout: readTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: httphead.MaxBytes,
 	}
 	o.c.Serve(o.server, l)
 	return nil
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -19,6 +19,7 @@
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/verdict"
@@ -122,7 +123,9 @@
 		Workers: o.s.Workers, Queue: pool.NewKeyedFIFO(o.s.Queue),
 		OnPanic: func(v any, stack []byte) { o.c.Fail(errors.Newf("call panicked: %v\n%s", v, stack)) },
 	})
-	o.server = &http.Server{Handler: o, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: o.s.CallerIdle.D()}
+	o.server = &http.Server{
+		Handler: o, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: o.s.CallerIdle.D(), MaxHeaderBytes: httphead.MaxBytes,
+	}
 	o.c.Every("outbound/idle", idleCheck, func() { o.client.CloseIdle(func(string) bool { return false }) })
 	o.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
 	o.c.Serve(o.server, l)
--- a/plugin/standin/plugin.go
+++ b/plugin/standin/plugin.go
@@ -17,6 +17,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/core/httponce"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
@@ -101,7 +102,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: httphead.NodeBytes}
 	p.servers = append(p.servers, s)
 	p.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
 	go func() {
