httpcall: what the head decides does not wait for the body

An upstream that refused a call with proof and did not send the body of the refusal, or only slowly, held the call until its deadline; the caller got 504 (may have run) at 2.00 s, where 503 was due at once. The body was buffered before the head was judged, and Drain read it until the deadline. The same held for a signed rejection of a node, for 421 and for responses that are no answer.

Dispatches name the responses whose head decides (Request.Decided); these and signed rejections are not buffered. Drain waits for 2 ms at most: a body that came with its head leaves the connection usable, any other closes it.

--- a/core/httpcall/bounds_test.go
+++ b/core/httpcall/bounds_test.go
@@ -149,6 +149,36 @@
 	}
 }
 
+// Guards against a new connection for each refusal: one whose body came with its head
+// leaves the connection usable, one whose body is missing does not.
+func TestDrainedConnectionIsKept(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer string
+		kept   bool
+	}{
+		"length":       {"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\nfull", true},
+		"chunks":       {"HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n", true},
+		"body missing": {"HTTP/1.1 503 X\r\nContent-Length: 4\r\n\r\n", false},
+		"long body":    {"HTTP/1.1 503 X\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1000000), false},
+	} {
+		address, _ := scripted(t, func(c net.Conn, _ int) { _, _ = io.WriteString(c, tc.answer) })
+		c := NewClient(ClientOptions{Rank: rank.Routing})
+		r := request(address)
+		r.Buffer, r.Decided = 1<<10, func(*http.Response) bool { return true }
+		x, f := c.Do(t.Context(), r)
+		if f != nil {
+			t.Fatalf("%s: %v", name, f)
+		}
+		if err := x.Drain(); err != nil && tc.kept {
+			t.Errorf("%s: %v", name, err)
+		}
+		if kept := len(c.idle[address]) == 1; kept != tc.kept || !time.Now().Before(r.Deadline) {
+			t.Errorf("%s: connection kept %v, want %v", name, kept, tc.kept)
+		}
+		c.Close()
+	}
+}
+
 // Guards against an answer between nodes that is taken for whole though it has
 // neither a length nor chunks: nodes always send one of them.
 func TestAnswersOfNodesAreFramed(t *testing.T) {
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -32,6 +32,9 @@
 	// Skip tells that a response belongs to another request, so that the answer is
 	// still to come on the connection; nil takes the first response.
 	Skip func(*http.Response) bool
+	// Decided tells that the head alone says what became of the request. The body of
+	// such a response is not buffered; Drain ends the exchange. May be nil.
+	Decided func(*http.Response) bool
 	// Buffer makes Do read a body of up to this many bytes before it returns, so that
 	// a cut answer is a failure of the dispatch. A longer body is streamed. With it,
 	// a body that ends with its connection is taken as well.
@@ -108,21 +111,35 @@
 		return nil, x.failure(ctx, r, err2)
 	}
 	x.Response = resp
-	x.Early = err != nil || x.stillWriting()
-	if v := resp.Header.Get(headerRejected); v != "" && c.o.Authenticate {
-		if reason, ok := k.secret.verifyRejection(v); ok {
-			_ = x.Drain()
-			f := NewFailure(KindRejected, verdict.NotRun, errors.New("rejected by the node"))
-			f.Reason = reason
-			var l NodeLoad
-			l, f.HasLoad = ParseLoad(resp.Header.Get(HeaderLoad))
-			f.Load = l.Busy
-			return nil, f
+	reason, rejected := x.rejection()
+	if !rejected && (r.Decided == nil || !r.Decided(resp)) {
+		if err := bufferBody(resp, r.Buffer); err != nil {
+			x.abort()
+			return nil, x.failure(ctx, r, err)
 		}
 	}
+	x.Early = err != nil || x.stillWriting()
+	if rejected {
+		_ = x.Drain()
+		f := NewFailure(KindRejected, verdict.NotRun, errors.New("rejected by the node"))
+		f.Reason = reason
+		var l NodeLoad
+		l, f.HasLoad = ParseLoad(resp.Header.Get(HeaderLoad))
+		f.Load = l.Busy
+		return nil, f
+	}
 	return x, nil
 }
 
+// rejection returns the reason of a node that proved that it did not run the call.
+func (x *Exchange) rejection() (reason string, ok bool) {
+	v := x.Response.Header.Get(headerRejected)
+	if v == "" || !x.client.o.Authenticate {
+		return "", false
+	}
+	return x.conn.secret.verifyRejection(v)
+}
+
 // send writes the request. A body that is not kept as a whole is written by a
 // goroutine of its own, so that an early answer can be read.
 func (x *Exchange) send(r *Request) error {
@@ -207,7 +224,7 @@
 // maxForeign bounds the responses to other requests that are skipped.
 const maxForeign = 4
 
-// readAnswer reads the head of the answer, and its body as far as it is buffered.
+// readAnswer reads the head of the answer.
 func (x *Exchange) readAnswer(r *Request) (*http.Response, error) {
 	for range maxForeign {
 		resp, err := x.readHead(r.HTTP, r.Buffer > 0)
@@ -215,7 +232,7 @@
 			return nil, err
 		}
 		if r.Skip == nil || !r.Skip(resp) {
-			return resp, bufferBody(resp, r.Buffer)
+			return resp, nil
 		}
 		if resp.Close {
 			return nil, errForeign
@@ -319,8 +336,18 @@
 // KeepFor bounds how long the connection may be idle before its next use.
 func (x *Exchange) KeepFor(d time.Duration) { x.conn.keep = d }
 
-// Drain reads the rest of a short response and finishes the exchange.
+// drainTime is how long Drain waits for a body that is sent behind the head instead of
+// with it. It is short: the caller of a refused call still has to try elsewhere.
+const drainTime = 2 * time.Millisecond
+
+// Drain finishes the exchange of a response whose body is not used. It reads a short
+// body that is there, or about to be, so that the connection can be used again. What
+// the head says does not wait for more: the connection is closed then.
 func (x *Exchange) Drain() error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(drainTime)); err != nil {
+		x.Finish(false)
+		return err
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, KeepBytes))
 	x.Finish(err == nil && n < KeepBytes)
 	return err
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -225,7 +225,8 @@
 		To:   httpcall.Target{Address: c.upstream},
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.in.s.BufferBytes,
-		Skip: func(r *http.Response) bool { return c.in.dialect.ReadAnswer(r, c.sent).Kind == dialect.Foreign },
+		Skip:    func(r *http.Response) bool { return c.kind(r) == dialect.Foreign },
+		Decided: func(r *http.Response) bool { return c.kind(r) != dialect.Own },
 	})
 	if f != nil {
 		c.failed = f
@@ -234,6 +235,9 @@
 	return c.judge(answered, begin)
 }
 
+// kind tells what a response to the dispatch is; its head suffices.
+func (c *call) kind(r *http.Response) dialect.Kind { return c.in.dialect.ReadAnswer(r, c.sent).Kind }
+
 // ended tells what a dispatch says of the upstream.
 func (c *call) ended(x *httpcall.Exchange) ended {
 	switch {
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -145,6 +145,7 @@
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Call: &c.call, Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.o.s.BufferBytes,
+		Decided: reportsFailure,
 	})
 	if f == nil {
 		f = c.reported(x)
@@ -191,8 +192,7 @@
 // reported turns the other node's report of a failed dispatch to its upstream
 // into a failure. Answers about claims stay answers.
 func (c *call) reported(x *httpcall.Exchange) *httpcall.Failure {
-	h := x.Response.Header
-	if h.Get(httpcall.HeaderVerdict) == "" || h.Get(httpcall.HeaderClaim) != "" {
+	if !reportsFailure(x.Response) {
 		return nil
 	}
 	kind := httpcall.KindCut
@@ -203,6 +203,11 @@
 	return httpcall.NewFailure(kind, verdict.MayHaveRun, errors.New("the connection to the upstream failed"))
 }
 
+// reportsFailure tells the report of a failed dispatch from an answer.
+func reportsFailure(r *http.Response) bool {
+	return r.Header.Get(httpcall.HeaderVerdict) != "" && r.Header.Get(httpcall.HeaderClaim) == ""
+}
+
 // unblock ends a blocked read of the caller's request body.
 func (c *call) unblock() {
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
