announce: a probe does not wait for the body of its answer

A probe whose answer came without its body, or with an endless one, was decided at the timeout of the probe (2.00 s in the test), although the head holds the result; a failing endpoint was found failing that much later. The body is now read for 10 ms at most, so that the connection is kept when it comes with the head.

--- a/plugin/announce/probe.go
+++ b/plugin/announce/probe.go
@@ -14,6 +14,10 @@
 // maxProbeBody bounds what is read of the answer to a probe.
 const maxProbeBody = 4096
 
+// probeDrain is how long a probe waits for the body of its answer. The head decides;
+// only a body that is read to its end leaves the connection usable.
+const probeDrain = 10 * time.Millisecond
+
 // errRedirect keeps probes on the upstream itself.
 var errRedirect = errors.New("probes follow no redirect")
 
@@ -39,7 +43,9 @@
 }
 
 func (a *Announce) get(url string) result {
-	req, err := http.NewRequestWithContext(a.ctx, http.MethodGet, url, nil)
+	ctx, cancel := context.WithCancel(a.ctx)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return probeNegative
 	}
@@ -48,6 +54,7 @@
 		return classify(err)
 	}
 	defer resp.Body.Close()
+	defer time.AfterFunc(probeDrain, cancel).Stop()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxProbeBody)
 	if resp.StatusCode >= http.StatusBadRequest {
 		return probeNegative
