httpcall: answers between nodes need a length or chunks

Between nodes an answer without a length was taken for whole when its connection ended, as it must be at upstreams. Nodes never send one: their servers send a length or chunks. An answer whose framing was lost could not be told from a cut. It now fails as a cut that may have run.

--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -37,7 +37,8 @@
 	Decided func(*http.Response) bool
 	// Buffer makes Do read a body of up to this many bytes before it returns, so that
 	// a cut answer is a failure of the dispatch. A longer body is streamed. With it,
-	// a body that ends with its connection is taken as well.
+	// a body of an upstream that ends with its connection is taken as well; nodes
+	// always send a length or chunks.
 	Buffer int
 	// Fresh asks for a connection that was idle for at most this long; 0 takes any.
 	Fresh time.Duration
@@ -227,7 +228,7 @@
 // readAnswer reads the head of the answer.
 func (x *Exchange) readAnswer(r *Request) (*http.Response, error) {
 	for range maxForeign {
-		resp, err := x.readHead(r.HTTP, r.Buffer > 0)
+		resp, err := x.readHead(r.HTTP, r.Buffer > 0 && !x.client.o.Authenticate)
 		if err != nil {
 			return nil, err
 		}
