outbound: a cut answer resets callers that know no chunks

A caller with HTTP/1.0 got the first 5 bytes of an answer that the upstream cut within its chunks, with status 200 and a proper end of its connection, which is the end of an answer without a length there: it looked whole. The answer of a caller with HTTP/1.1 is chunked then, and its last chunk is missing.

The connection of such a caller is now reset when an answer cannot be completed.

--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -199,10 +199,26 @@
 		return
 	}
 	if c.aborted {
+		if !r.ProtoAtLeast(1, 1) {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// reset ends the connection of a caller that knows no chunks: without a length only a
+// reset tells it that the answer was cut.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // prepare sets the deadline and reads the kept part of the body. wait is how long
 // the caller waits; 0 when it does not say.
 func (c *call) prepare(wait time.Duration) error {
