test: parts of bodies without end, own answers up to the deadline

Chunk sizes, chunk extensions and trailers without end, bodies of other requests and bytes behind answers without a body end the exchange or close the connection before the deadline. An own answer without end holds its worker and slot up to the deadline of the call, whatever its framing.

--- a/core/httpcall/bounds_test.go
+++ b/core/httpcall/bounds_test.go
@@ -149,6 +149,54 @@
 	}
 }
 
+// Guards against parts of bodies without end that are read until the deadline or
+// kept: what is no body ends the exchange, and what is behind an answer without a
+// body closes the connection.
+func TestEndlessPartsOfBodies(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, tc := range map[string]struct {
+		begin, part string
+		method      string
+		whole       bool // the answer is whole in spite of what follows
+	}{
+		"chunk size":        {begin: chunked, part: strings.Repeat("0", 1<<10)},
+		"chunk extension":   {begin: chunked + "2;a=", part: strings.Repeat("x", 1<<10)},
+		"chunk extensions":  {begin: chunked, part: "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		"trailer line":      {begin: chunked + "0\r\nA: ", part: strings.Repeat("x", 1<<10)},
+		"trailer lines":     {begin: chunked + "0\r\n", part: strings.Repeat("A: b\r\n", 200)},
+		"other's body":      {begin: "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1000000000\r\n\r\n", part: strings.Repeat("x", 1<<10)},
+		"other's chunks":    {begin: "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n", part: strings.Repeat("1\r\nx\r\n", 200)},
+		"behind HEAD":       {begin: "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n" + strings.Repeat("x", 9), part: strings.Repeat("x", 1<<10), method: "HEAD", whole: true},
+		"behind status 204": {begin: "HTTP/1.1 204 X\r\nId: 1\r\n\r\n" + strings.Repeat("x", 9), part: strings.Repeat("x", 1<<10), whole: true},
+		"behind status 304": {begin: "HTTP/1.1 304 X\r\nId: 1\r\n\r\n" + strings.Repeat("x", 9), part: strings.Repeat("x", 1<<10), whole: true},
+	} {
+		for _, buffer := range []int{0, 256 << 10} {
+			quit := make(chan struct{})
+			address, _ := scripted(t, func(c net.Conn, _ int) { streamHead(c, tc.begin, tc.part, quit) })
+			c := NewClient(ClientOptions{Rank: rank.Routing})
+			r := request(address)
+			if tc.method != "" {
+				r.HTTP.Method = tc.method
+			}
+			r.Buffer, r.Skip = buffer, func(r *http.Response) bool { return r.Header.Get("Id") != "1" }
+			x, f := c.Do(t.Context(), r)
+			whole := f == nil
+			if f == nil {
+				readErr, _ := x.CopyBody(io.Discard, func() error { return nil })
+				whole = readErr == nil
+				x.Finish(whole)
+			} else if f.Kind != KindCut || f.Verdict() != verdict.MayHaveRun {
+				t.Errorf("%s, buffer %d: %v, want a cut that may have run", name, buffer, f)
+			}
+			if whole != tc.whole || !time.Now().Before(r.Deadline) || len(c.idle[address]) > 0 {
+				t.Errorf("%s, buffer %d: whole %v, want %v before the deadline; %d connections kept", name, buffer, whole, tc.whole, len(c.idle[address]))
+			}
+			c.Close()
+			close(quit)
+		}
+	}
+}
+
 // Guards against a new connection for each refusal: one whose body came with its head
 // leaves the connection usable, one whose body is missing does not.
 func TestDrainedConnectionIsKept(t *testing.T) {
--- a/test/dataplane/bounds_test.go
+++ b/test/dataplane/bounds_test.go
@@ -283,3 +283,83 @@
 		t.Errorf("status %d and body %q look whole", resp.StatusCode, b)
 	}
 }
+
+// Guards against an answer without end that holds the worker and the slot beyond the
+// deadline of its call, whatever its framing.
+func TestEndlessAnswerEndsAtItsDeadline(t *testing.T) {
+	for name, tc := range map[string]struct{ begin, part string }{
+		"large length": {"HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n", strings.Repeat("x", 1<<12)},
+		"slow length":  {"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n", "x"},
+		"chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 1<<12) + "\r\n"},
+		"slow chunks":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		"no length":    {"HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<12)},
+		"slow interim": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.buffer, f.route.TimeoutMillis, f.clust.EjectAfter = 256<<10, 1000, 1<<20
+			ended := make(chan struct{})
+			n := f.add("a", "z1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/ok" {
+					return
+				}
+				raw(t, func(c net.Conn, _ *http.Request) {
+					defer close(ended)
+					defer c.Close()
+					_, err := io.WriteString(c, tc.begin)
+					for err == nil {
+						time.Sleep(time.Millisecond)
+						_, err = io.WriteString(c, tc.part)
+					}
+				}).ServeHTTP(w, r)
+			}))
+			if got := n.call("POST", "north", "/", "body"); got.err == nil && got.status < 500 {
+				t.Errorf("status %d and %d bytes look whole", got.status, len(got.body))
+			}
+			select {
+			case <-ended:
+			case <-time.After(5 * time.Second):
+				t.Error("the connection to the upstream is open 5 s after the call")
+			}
+			if got := n.call("POST", "north", "/ok", "body"); got.err != nil || got.status != 200 {
+				t.Errorf("the only slot is not free: %+v", got)
+			}
+		})
+	}
+}
+
+// Guards against an endpoint that sends heads without end and goes on getting its
+// share of the calls.
+func TestEndlessHeadsCountAgainstTheEndpoint(t *testing.T) {
+	f := newFleet(t, 4)
+	f.clust.RetryBudgetPercent = 100
+	var bad atomic.Int64
+	f.add("bad", "z1", raw(t, func(c net.Conn, _ *http.Request) {
+		defer c.Close()
+		bad.Add(1)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nA: ")
+		for n := 0; n < 1<<20 && err == nil; n += 1 << 10 {
+			_, err = io.WriteString(c, strings.Repeat("x", 1<<10))
+		}
+	}))
+	f.add("good", "z1", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	caller := f.add("caller", "z1", nil)
+	for i := range 100 {
+		if got := caller.call("GET", "north", "/", ""); got.err != nil || got.status != 200 {
+			t.Errorf("call %d: %+v", i, got)
+		}
+	}
+	if n := bad.Load(); n > 10 {
+		t.Errorf("%d of 100 calls reached the faulty endpoint", n)
+	} else {
+		t.Logf("%d of 100 calls reached the faulty endpoint", n)
+	}
+	f = newFleet(t, 4)
+	only := f.add("bad", "z1", raw(t, func(c net.Conn, _ *http.Request) {
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nA: "+strings.Repeat("x", 1<<16))
+	}))
+	if got := only.call("POST", "north", "/", "body"); got.status != http.StatusBadGateway || got.verdict != "may-have-run" {
+		t.Errorf("%+v, want status 502 and the verdict may-have-run", got)
+	}
+}
