--- a/test/dataplane/bounds_test.go
+++ b/test/dataplane/bounds_test.go
@@ -313,9 +313,14 @@
 					}
 				}).ServeHTTP(w, r)
 			}))
+			begin := time.Now()
 			if got := n.call("POST", "north", "/", "body"); got.err == nil && got.status < 500 {
 				t.Errorf("status %d and %d bytes look whole", got.status, len(got.body))
 			}
+			// The deadline of the route is 1 s.
+			if took := time.Since(begin); took > 5*time.Second {
+				t.Errorf("the call ended after %v", took)
+			}
 			select {
 			case <-ended:
 			case <-time.After(5 * time.Second):
