test: refusals that wait for the body of the request

A node that refuses a request before it reads its body (no route, no configuration, malformed header) sends the answer only after up to 256 KiB of the body: net/http reads them first. A caller whose body does not come got no answer within 3 s; nothing bounds the wait.

--- a/test/dataplane/bounds_test.go
+++ b/test/dataplane/bounds_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/core/dialect"
 	_ "github.com/celeryyard/celeryyard/platform/dialect" // registers itself
 )
@@ -368,3 +370,41 @@
 		t.Errorf("%+v, want status 502 and the verdict may-have-run", got)
 	}
 }
+
+// Guards against a refusal of a node that waits for the body of the request: what
+// cannot be served is refused at once, and a body that does not come holds nothing.
+func TestRefusalDoesNotWaitForTheRequest(t *testing.T) {
+	f := newFleet(t, 4)
+	n := f.add("a", "z1", nil)
+	for name, tc := range map[string]struct {
+		request string
+		want    int
+	}{
+		"no route, length":   {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 100\r\n\r\n", 404},
+		"no route, chunks":   {"POST / HTTP/1.1\r\nHost: none\r\nTransfer-Encoding: chunked\r\n\r\n", 404},
+		"no route, slow":     {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 100\r\n\r\nabc", 404},
+		"malformed timeout":  {"POST / HTTP/1.1\r\nHost: north\r\nCeleryyard-Timeout-Ms: x\r\nContent-Length: 100\r\n\r\n", 400},
+		"no route, has body": {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 3\r\n\r\nabc", 404},
+	} {
+		c, err := net.Dial("tcp", n.outbound)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+		_, _ = io.WriteString(c, tc.request)
+		br := bufio.NewReader(c)
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil || resp.StatusCode != tc.want {
+			t.Errorf("%s: %v, %v, want status %d", name, resp, err, tc.want)
+			_ = c.Close()
+			continue
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_, err = br.Peek(1)
+		var timeout net.Error
+		if kept := errors.As(err, &timeout) && timeout.Timeout(); kept != (name == "no route, has body") {
+			t.Errorf("%s: connection kept %v (%v)", name, kept, err)
+		}
+		_ = c.Close()
+	}
+}
