inbound, outbound: a refusal does not wait for the request's body

A node that refused a request before it read the body (no route, no configuration, malformed header; between nodes: leaving, no upstream, wrong service) sent the answer only after the body: net/http reads up to 256 KiB first, without a deadline. A caller whose body did not come got no answer within 3 s, and its connection was kept without an end.

The refusal now waits for 20 ms, in which a body that came with its head is read and the connection stays usable. Otherwise the refusal is sent at once with Connection: close, and the rest of the body is read for 1 s behind it, so that a peer that still sends is not reset before it reads the answer. Rest of a body in chunks is not read after a timeout: there a reset is still possible.

--- a/core/httpcall/body.go
+++ b/core/httpcall/body.go
@@ -58,6 +58,36 @@
 	return b, errors.Wrap(rc.EnableFullDuplex(), "request body")
 }
 
+const (
+	// unreadTime is how long a refusal waits for the request body. One that was sent with
+	// its head is there, and leaves the connection usable.
+	unreadTime = 20 * time.Millisecond
+	// lingerTime is how long the rest of the body is read behind the refusal. A connection
+	// that is closed while its peer sends may be reset before the peer reads the answer.
+	lingerTime = time.Second
+)
+
+// AnswerUnread prepares an answer to a request whose body was not read. net/http reads
+// up to 256 KiB of the body before it sends such an answer and has no deadline for it;
+// here the answer comes first unless the body is there. It blocks for unreadTime at most.
+func AnswerUnread(w http.ResponseWriter, r *http.Request) {
+	// Reading the body would ask a client that expects "100 Continue" for it.
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+		return
+	}
+	rc := http.NewResponseController(w)
+	if rc.SetReadDeadline(time.Now().Add(unreadTime)) != nil {
+		return
+	}
+	if _, err := io.CopyN(io.Discard, r.Body, KeepBytes+1); errors.Is(err, io.EOF) {
+		_ = rc.SetReadDeadline(time.Time{})
+		return
+	}
+	w.Header().Set("Connection", "close")
+	_ = rc.EnableFullDuplex()
+	_ = rc.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 // BytesBody returns a body that holds p. It is not to be released.
 func BytesBody(p []byte) *Body {
 	return &Body{kept: bytes.NewBuffer(p), length: int64(len(p))}
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -159,6 +159,9 @@
 	if c.info.ID != "" {
 		c.logRejection(reason)
 	}
+	if c.body == nil {
+		httpcall.AnswerUnread(c.w, c.r)
+	}
 	h := c.w.Header()
 	if reason == httpcall.ReasonLeaving || !c.body.Whole() {
 		h.Set("Connection", "close")
--- a/plugin/outbound/answer.go
+++ b/plugin/outbound/answer.go
@@ -78,6 +78,9 @@
 		r.RetryAfter = c.retryAfter()
 	}
 	c.logRefusal(&r)
+	if c.body == nil {
+		httpcall.AnswerUnread(c.w, c.r)
+	}
 	h := c.w.Header()
 	c.o.dialect.WriteRefusal(h, r)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/test/dataplane/bounds_test.go
+++ b/test/dataplane/bounds_test.go
@@ -384,6 +384,7 @@
 		"no route, chunks":   {"POST / HTTP/1.1\r\nHost: none\r\nTransfer-Encoding: chunked\r\n\r\n", 404},
 		"no route, slow":     {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 100\r\n\r\nabc", 404},
 		"malformed timeout":  {"POST / HTTP/1.1\r\nHost: north\r\nCeleryyard-Timeout-Ms: x\r\nContent-Length: 100\r\n\r\n", 400},
+		"no route, large":    {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 10000000\r\n\r\n" + strings.Repeat("x", 200<<10), 404},
 		"no route, has body": {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 3\r\n\r\nabc", 404},
 	} {
 		c, err := net.Dial("tcp", n.outbound)
@@ -391,6 +392,7 @@
 			t.Fatal(err)
 		}
 		_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+		begin := time.Now()
 		_, _ = io.WriteString(c, tc.request)
 		br := bufio.NewReader(c)
 		resp, err := http.ReadResponse(br, nil)
@@ -400,6 +402,9 @@
 			continue
 		}
 		_, _ = io.Copy(io.Discard, resp.Body)
+		if took := time.Since(begin); took > time.Second/2 {
+			t.Errorf("%s: refused after %v", name, took)
+		}
 		_, err = br.Peek(1)
 		var timeout net.Error
 		if kept := errors.As(err, &timeout) && timeout.Timeout(); kept != (name == "no route, has body") {
