--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -37,9 +37,13 @@
 	// call is not sent on a connection on which one of this name was refused: a copy
 	// of that refusal could not be told from the answer.
 	Name string
+	// Decided tells that the head alone says what became of the request. The body of
+	// such a response is not buffered; Drain ends the exchange. May be nil.
+	Decided func(*http.Response) bool
 	// Buffer makes Do read a body of up to this many bytes before it returns, so that
 	// a cut answer is a failure of the dispatch. A longer body is streamed. With it,
-	// a body that ends with its connection is taken as well.
+	// a body of an upstream that ends with its connection is taken as well; nodes
+	// always send a length or chunks.
 	Buffer int
 	// Fresh asks for a connection that was idle for at most this long; 0 takes any.
 	Fresh time.Duration
@@ -117,24 +121,42 @@
 		return nil, x.failure(ctx, r, err2)
 	}
 	x.Response = resp
+	rejection, err2 := x.rejection()
+	if err2 == nil && rejection == nil && (r.Decided == nil || !r.Decided(resp)) {
+		err2 = bufferBody(resp, r.Buffer)
+	}
+	if err2 != nil {
+		x.abort()
+		return nil, x.failure(ctx, r, err2)
+	}
 	x.Early = err != nil || x.stillWriting()
-	if v := resp.Header.Get(headerRejected); v != "" && c.o.Authenticate {
-		reason, ok := k.secret.verifyRejection(v)
-		if !ok {
-			x.abort()
-			return nil, NewFailure(KindCut, verdict.MayHaveRun, errUnproven)
-		}
+	if rejection != nil {
 		_ = x.Drain()
-		f := NewFailure(KindRejected, verdict.NotRun, errors.New("rejected by the node"))
-		f.Reason = reason
-		var l NodeLoad
-		l, f.HasLoad = ParseLoad(resp.Header.Get(HeaderLoad))
-		f.Load = l.Busy
-		return nil, f
+		return nil, rejection
 	}
 	return x, nil
 }
 
+// rejection returns the failure of a call that the other node proved not to have run, or
+// nil. The error tells that the answer is a rejection without the proof for this call.
+func (x *Exchange) rejection() (*Failure, error) {
+	h := x.Response.Header
+	v := h.Get(headerRejected)
+	if v == "" || !x.client.o.Authenticate {
+		return nil, nil
+	}
+	reason, ok := x.conn.secret.verifyRejection(v)
+	if !ok {
+		return nil, errUnproven
+	}
+	f := NewFailure(KindRejected, verdict.NotRun, errors.New("rejected by the node"))
+	f.Reason = reason
+	var l NodeLoad
+	l, f.HasLoad = ParseLoad(h.Get(HeaderLoad))
+	f.Load = l.Busy
+	return f, nil
+}
+
 // send writes the request. A body that is not kept as a whole is written by a
 // goroutine of its own, so that an early answer can be read.
 func (x *Exchange) send(r *Request) error {
@@ -219,15 +241,15 @@
 // maxForeign bounds the responses to other requests that are skipped.
 const maxForeign = 4
 
-// readAnswer reads the head of the answer, and its body as far as it is buffered.
+// readAnswer reads the head of the answer.
 func (x *Exchange) readAnswer(r *Request) (*http.Response, error) {
 	for range maxForeign {
-		resp, err := x.readHead(r.HTTP, r.Buffer > 0)
+		resp, err := x.readHead(r.HTTP, r.Buffer > 0 && !x.client.o.Authenticate)
 		if err != nil {
 			return nil, err
 		}
 		if r.Skip == nil || !r.Skip(resp) {
-			return resp, bufferBody(resp, r.Buffer)
+			return resp, nil
 		}
 		if resp.Close {
 			return nil, errForeign
@@ -269,7 +291,7 @@
 // readHead reads the head of a final response.
 func (x *Exchange) readHead(h *http.Request, unframed bool) (*http.Response, error) {
 	for range 8 { // bounds the interim responses of a faulty upstream
-		resp, err := http.ReadResponse(x.conn.br, h)
+		resp, err := x.conn.br.ReadResponse(h)
 		if err != nil {
 			return nil, err
 		}
@@ -337,8 +359,18 @@
 	x.conn.refused = append(x.conn.refused, xxhash.Sum64String(x.name))
 }
 
-// Drain reads the rest of a short response and finishes the exchange.
+// drainTime is how long Drain waits for a body that is sent behind the head instead of
+// with it. It is short: the caller of a refused call still has to try elsewhere.
+const drainTime = 2 * time.Millisecond
+
+// Drain finishes the exchange of a response whose body is not used. It reads a short
+// body that is there, or about to be, so that the connection can be used again. What
+// the head says does not wait for more: the connection is closed then.
 func (x *Exchange) Drain() error {
+	if err := x.conn.SetReadDeadline(time.Now().Add(drainTime)); err != nil {
+		x.Finish(false)
+		return err
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, KeepBytes))
 	x.Finish(err == nil && n < KeepBytes)
 	return err
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -159,6 +159,9 @@
 	if c.info.ID != "" {
 		c.logRejection(reason)
 	}
+	if c.body == nil {
+		httpcall.AnswerUnread(c.w, c.r)
+	}
 	h := c.w.Header()
 	if reason == httpcall.ReasonLeaving || !c.body.Whole() {
 		h.Set("Connection", "close")
@@ -225,10 +228,9 @@
 		To:   httpcall.Target{Address: c.upstream},
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Body: c.body, Deadline: c.deadline, Unblock: c.unblock, Buffer: c.in.s.BufferBytes,
-		Name: c.sent.ID,
-		Skip: func(r *http.Response) bool {
-			return dialect.KindOf(c.in.dialect.ReadAnswer(r), c.sent) == dialect.Foreign
-		},
+		Name:    c.sent.ID,
+		Skip:    func(r *http.Response) bool { return c.kind(r) == dialect.Foreign },
+		Decided: func(r *http.Response) bool { return c.kind(r) != dialect.Own },
 	})
 	if f != nil {
 		c.failed = f
@@ -237,6 +239,11 @@
 	return c.judge(answered, begin)
 }
 
+// kind tells what a response to the dispatch is; its head suffices.
+func (c *call) kind(r *http.Response) dialect.Kind {
+	return dialect.KindOf(c.in.dialect.ReadAnswer(r), c.sent)
+}
+
 // ended tells what a dispatch says of the upstream.
 func (c *call) ended(x *httpcall.Exchange) ended {
 	switch {
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -19,6 +19,7 @@
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httphead"
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/verdict"
@@ -122,7 +123,9 @@
 		Workers: o.s.Workers, Queue: pool.NewKeyedFIFO(o.s.Queue),
 		OnPanic: func(v any, stack []byte) { o.c.Fail(errors.Newf("call panicked: %v\n%s", v, stack)) },
 	})
-	o.server = &http.Server{Handler: o, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: o.s.CallerIdle.D()}
+	o.server = &http.Server{
+		Handler: o, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: o.s.CallerIdle.D(), MaxHeaderBytes: httphead.MaxBytes,
+	}
 	o.c.Every("outbound/idle", idleCheck, func() { o.client.CloseIdle(func(string) bool { return false }) })
 	o.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
 	o.c.Serve(o.server, l)
@@ -196,10 +199,26 @@
 		return
 	}
 	if c.aborted {
+		if !r.ProtoAtLeast(1, 1) {
+			reset(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// reset ends the connection of a caller that knows no chunks: without a length only a
+// reset tells it that the answer was cut.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // prepare sets the deadline and reads the kept part of the body. wait is how long
 // the caller waits; 0 when it does not say.
 func (c *call) prepare(wait time.Duration) error {
