--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -14,9 +14,10 @@
 
 const (
 	// MaxBytes bounds the head of a message from callers, upstreams and operators. It is
-	// the limit that the users' configurations state for callers. A server of net/http
-	// allows 4 KiB more.
-	MaxBytes = 16 << 10
+	// twice the limit that the users' configurations state for callers, so that a
+	// configuration with a larger one does not make valid requests fail. A server of
+	// net/http allows 4 KiB more.
+	MaxBytes = 32 << 10
 	// NodeBytes bounds the heads between nodes: one that was forwarded, with the 4 KiB
 	// that a server allows, and the headers that nodes add, of which the longest has 1 KiB.
 	NodeBytes = MaxBytes + 8<<10
