kernel: a log event for each signal received, with its phase

Event 108 names the signal and the phase (starting, running, stopping). It covers the signals that are caught today, SIGHUP and SIGTERM; nothing else changes.

--- a/kernel/context.go
+++ b/kernel/context.go
@@ -99,7 +99,7 @@
 func (c *Context) Fail(err error) { c.k.fail(errors.Wrap(err, c.Name)) }
 
 // Stopping reports whether the program has begun to stop its plug-ins.
-func (c *Context) Stopping() bool { return c.k.stopping.Load() }
+func (c *Context) Stopping() bool { return c.k.phase.Load() == phaseStopping }
 
 // Serve serves HTTP on l in a goroutine of its own until the server is shut
 // down. Any other end of the server ends the program.
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -59,7 +59,8 @@
 	cancel   context.CancelFunc
 	path     string
 
-	stopping atomic.Bool
+	// phase is the phase of the process, one of the constants below.
+	phase atomic.Int32
 
 	mu     *rank.Mutex
 	rng    *rand.Rand
@@ -186,6 +187,7 @@
 func (k *Kernel) Run(ctx context.Context) error {
 	err := k.start()
 	if err == nil {
+		k.phase.Store(phaseRunning)
 		k.log.Log(evStarted).Str("availability_zone", k.instance.AvailabilityZone).Send()
 		select {
 		case <-ctx.Done():
@@ -218,7 +220,7 @@
 
 // stop ends the plug-ins in reverse order. A planned stop drains first.
 func (k *Kernel) stop(planned bool) {
-	k.stopping.Store(true)
+	k.phase.Store(phaseStopping)
 	k.log.Log(evStopping).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), k.instance.StopTimeout.D())
 	defer cancel()
--- a/kernel/program.go
+++ b/kernel/program.go
@@ -123,8 +123,9 @@
 	var g run.Group
 	// Both signals stay caught until the process ends: by its default action a SIGHUP
 	// that comes during a planned stop would cut the calls in flight.
-	held := make(chan os.Signal, 1)
+	held := make(chan os.Signal, heldSignals)
 	signal.Notify(held, syscall.SIGHUP, syscall.SIGTERM)
+	go k.logSignals(held)
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error { return k.Run(ctx) }, func(error) { cancel() })
 	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
