--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"testing"
@@ -15,6 +16,13 @@
 	journal *[]string
 	c       *Context
 	start   func(c *Context) error
+	drain   func(c *Context)
+}
+
+func (f *fake) Drain() {
+	if f.drain != nil {
+		f.drain(f.c)
+	}
 }
 
 func (f *fake) Start(context.Context) error {
@@ -39,12 +47,17 @@
 }
 
 func build(t *testing.T, names ...string) (*Kernel, error) {
+	t.Helper()
+	return New(Options{Plugins: names, Settings: testSettings(t), Log: io.Discard})
+}
+
+func testSettings(t *testing.T) *settings.File {
 	t.Helper()
 	f, err := settings.Parse("t.json", []byte(`{"instance": {"name": "t", "stop_timeout": "5s"}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return New(Options{Plugins: names, Settings: f, Log: io.Discard})
+	return f
 }
 
 // Guards against plug-ins that start before what they need, or outlive it.
@@ -101,3 +114,31 @@
 		t.Fatalf("plug-in was not stopped: %v", journal)
 	}
 }
+
+// Guards against a failure during a planned stop that nobody learns of: the process
+// ended with exit code 0 and no log line.
+func TestFailureDuringThePlannedStopIsReported(t *testing.T) {
+	var journal []string
+	Register(Registration{Name: "f", New: func(c *Context) (Plugin, error) {
+		return &fake{name: "f", journal: &journal, c: c, drain: func(c *Context) {
+			c.Fail(errors.New("disk is broken"))
+		}}, nil
+	}})
+	t.Cleanup(func() { delete(registry, "f") })
+	var log strings.Builder
+	k, err := New(Options{Plugins: []string{"f"}, Settings: testSettings(t), Log: &log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := k.Run(ctx); err == nil || !strings.Contains(err.Error(), "disk is broken") {
+		t.Errorf("run ended with %v", err)
+	}
+	if !strings.Contains(log.String(), `"event":104,`) {
+		t.Errorf("no event 104 in the log:\n%s", log.String())
+	}
+	if journal[len(journal)-1] != "stop f" {
+		t.Errorf("plug-in was not stopped: %v", journal)
+	}
+}
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -47,17 +47,11 @@
 // the process without starting it. It is killed at the end of the test.
 func NewProcess(t testing.TB, dir, name, program string, settings any, args ...string) *Process {
 	t.Helper()
-	text, err := json.Marshal(settings)
-	if err != nil {
-		t.Fatal(err)
-	}
 	p := &Process{
 		Name: name, t: t, binary: filepath.Join(Binaries(t), program), args: args,
 		settings: filepath.Join(dir, name+".json"), logPath: filepath.Join(dir, name+".log"),
 	}
-	if err := os.WriteFile(p.settings, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	p.Rewrite(settings)
 	t.Cleanup(func() {
 		p.Kill()
 		if t.Failed() {
@@ -67,6 +61,21 @@
 	return p
 }
 
+// Rewrite replaces the settings file, in one step, with a value that is encoded as JSON.
+func (p *Process) Rewrite(settings any) {
+	p.t.Helper()
+	text, err := json.Marshal(settings)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.WriteFile(p.settings+".new", text, 0o600); err != nil {
+		p.t.Fatal(err)
+	}
+	if err := os.Rename(p.settings+".new", p.settings); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
 // Start starts the program with its settings and further arguments.
 func (p *Process) Start(args ...string) {
 	p.t.Helper()
@@ -75,6 +84,12 @@
 		p.t.Fatal(err)
 	}
 	defer out.Close()
+	p.StartTo(out, args...)
+}
+
+// StartTo is Start with another output than the log file.
+func (p *Process) StartTo(out *os.File, args ...string) {
+	p.t.Helper()
 	cmd := exec.Command(p.binary, append(append([]string{"--settings", p.settings}, p.args...), args...)...)
 	cmd.Stdout, cmd.Stderr = out, out
 	// A test that dies takes its processes with it.
@@ -136,6 +151,44 @@
 	return err == nil && len(threads) > 0
 }
 
+// Deliver sends a signal and waits until the process has taken it or has ended.
+func (p *Process) Deliver(s syscall.Signal) {
+	p.t.Helper()
+	p.signal(s)
+	Wait(p.t, 10*time.Second, fmt.Sprintf("%s takes %v", p.Name, s), func() bool { return !p.Running() || !p.pending(s) })
+}
+
+// pending reports whether a signal waits for the process.
+func (p *Process) pending(s syscall.Signal) bool {
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	for line := range strings.Lines(string(b)) {
+		if name, mask, _ := strings.Cut(line, ":"); name == "ShdPnd" || name == "SigPnd" {
+			set, err := strconv.ParseUint(strings.TrimSpace(mask), 16, 64)
+			if err != nil || set&(1<<(s-1)) != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Ended waits until the process has ended. It returns its exit code, or -1 with the name
+// of the signal that ended it, or -1 and "running" after the limit.
+func (p *Process) Ended(limit time.Duration) (int, string) {
+	if !p.wait(limit) {
+		return -1, "running"
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.cmd.ProcessState.Sys().(syscall.WaitStatus); w.Signaled() {
+		return -1, w.Signal().String()
+	}
+	return p.code, ""
+}
+
+// SettingsPath returns the path of the settings file.
+func (p *Process) SettingsPath() string { return p.settings }
+
 // Hangup tells the process that its settings have changed.
 func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
 
