kernel: one owner catches signals from the first statement to the end

Cause: three registrations of the same signals with different lifetimes, all made once the plug-ins were built. Before them, between them and after them a signal ended the process by its default action or was lost. SIGPIPE of a broken standard output was never caught.

Change: kernel/signals catches SIGHUP, SIGINT and SIGTERM once, when its package is initialised, until the process ends, and ignores SIGPIPE. Requests that come early are kept; a watcher turns them into requests to the kernel and goes on during the stop. Run itself gives new settings to plug-ins, between their start and their stop; a reload during the stop is skipped (event 109). Lines that the output does not take are counted as dropped, and the last flush waits for 1 s at most. A change of the settings file during the start is noticed, since the file is compared with the text that was read first. A failure during the planned stop is logged (104) and ends the program with exit code 1.

--- a/cmd/celeryyard-node/main.go
+++ b/cmd/celeryyard-node/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/celeryyard/celeryyard/kernel"
+	_ "github.com/celeryyard/celeryyard/kernel/signals/early" // catches signals
 	"github.com/celeryyard/celeryyard/role/node"
 )
 
--- a/kernel/event/writer.go
+++ b/kernel/event/writer.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -14,6 +15,8 @@
 	writerDelay = 100 * time.Millisecond
 )
 
+var newline = []byte{'\n'}
+
 // Writer hands log lines to an output in the background. Write never waits for the
 // output: lines that find the buffer full are dropped and counted. An idle Writer
 // runs nothing.
@@ -73,15 +76,37 @@
 	batch := w.waiting
 	w.waiting, w.spare = w.spare[:0], nil
 	w.mu.Unlock()
+	lost := 0
 	if len(batch) > 0 {
-		_, _ = w.out.Write(batch) // an output that fails has nowhere to be reported
+		if n, err := w.out.Write(batch); err != nil {
+			// An output that fails has nowhere to be reported but in the count.
+			lost = bytes.Count(batch[n:], newline)
+		}
 	}
 	w.mu.Lock()
 	w.spare = batch[:0]
+	w.dropped += uint64(lost)
 	w.mu.Unlock()
 }
 
-// Counts returns the lines and bytes taken and the lines dropped since the start.
+// FlushWithin is Flush with a bound on the wait. The output may still be written to
+// after it.
+func (w *Writer) FlushWithin(limit time.Duration) {
+	done := make(chan struct{})
+	go func() {
+		w.Flush()
+		close(done)
+	}()
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// Counts returns the lines and bytes taken and the lines dropped since the start: those
+// that found the buffer full and those that the output did not take.
 func (w *Writer) Counts() (lines, bytes, dropped uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -59,8 +59,16 @@
 	cancel   context.CancelFunc
 	path     string
 
-	// phase is the phase of the process, one of the constants below.
+	// phase is the phase of the process, such as phaseStarting.
 	phase atomic.Int32
+	// running is closed when all plug-ins have started, leaving when the stop begins.
+	running, leaving chan struct{}
+	// reloads holds a request to read the settings again; changed hands new sections
+	// to Run.
+	reloads chan struct{}
+	changed chan []any
+	// text is the text of the settings file that New has read.
+	text []byte
 
 	mu     *rank.Mutex
 	rng    *rand.Rand
@@ -155,6 +163,8 @@
 		instance: in, order: order, plugins: map[string]Plugin{},
 		log: event.NewLogger(o.Log, level).With("instance", in.Name), metrics: metrics.NewSet(),
 		clock: o.Clock, path: o.Path, mu: rank.New(rank.Kernel), failed: make(chan error, 1),
+		running: make(chan struct{}), leaving: make(chan struct{}), reloads: make(chan struct{}, 1), changed: make(chan []any),
+		text: o.Settings.Source(),
 	}
 	if k.clock == nil {
 		k.clock = clock.System{}
@@ -182,25 +192,39 @@
 	}
 }
 
-// Run starts the plug-ins, waits until ctx ends or a plug-in fails, and stops
-// them in reverse order. It returns the failure, or nil after a requested stop.
+// Run starts the plug-ins, gives them changed settings until ctx ends or a plug-in fails,
+// and stops them in reverse order. It returns the failure, or nil after a requested stop.
 func (k *Kernel) Run(ctx context.Context) error {
 	err := k.start()
 	if err == nil {
 		k.phase.Store(phaseRunning)
+		close(k.running)
 		k.log.Log(evStarted).Str("availability_zone", k.instance.AvailabilityZone).Send()
-		select {
-		case <-ctx.Done():
-		case err = <-k.failed:
-		}
+		err = k.serve(ctx)
 	}
 	if err != nil {
 		k.log.Log(evFailed).Err(err).Send()
 	}
-	k.stop(err == nil)
+	if late := k.stop(err == nil); err == nil {
+		err = late
+	}
 	return err
 }
 
+// serve waits until ctx ends or a plug-in fails, and returns the failure.
+func (k *Kernel) serve(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-k.failed:
+			return err
+		case sections := <-k.changed:
+			k.apply(sections)
+		}
+	}
+}
+
 // Service returns a running plug-in by name, for programs that embed a kernel.
 func (k *Kernel) Service(name string) Plugin { return k.plugins[name] }
 
@@ -218,9 +242,11 @@
 	return nil
 }
 
-// stop ends the plug-ins in reverse order. A planned stop drains first.
-func (k *Kernel) stop(planned bool) {
+// stop ends the plug-ins in reverse order. A planned stop drains first. A failure
+// meanwhile ends the drain, but not the stop; stop logs and returns it.
+func (k *Kernel) stop(planned bool) error {
 	k.phase.Store(phaseStopping)
+	close(k.leaving)
 	k.log.Log(evStopping).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), k.instance.StopTimeout.D())
 	defer cancel()
@@ -237,26 +263,31 @@
 	if err := k.pool.Stop(ctx); err != nil {
 		k.log.Log(evStopLate).Str("stopped_plugin", "pool").Err(err).Send()
 	}
+	var failure error
+	select {
+	case failure = <-k.failed:
+		k.log.Log(evFailed).Err(failure).Send()
+	default:
+	}
 	k.log.Log(evStopped).Send()
+	return failure
 }
 
 // drain tells the plug-ins that the process leaves and lets it serve on for
 // DrainTime, so that callers and other processes have moved away when the
-// plug-ins stop.
+// plug-ins stop. A failure ends it early.
 func (k *Kernel) drain() {
 	for _, name := range k.started {
 		if d, ok := k.plugins[name].(Drainer); ok {
 			d.Drain()
 		}
 	}
-	if k.instance.DrainTime <= 0 {
-		return
-	}
 	timer := time.NewTimer(k.instance.DrainTime.D())
 	defer timer.Stop()
 	select {
+	case err := <-k.failed:
+		k.fail(err) // stop reports it
 	case <-timer.C:
-	case <-k.failed:
 	}
 }
 
--- a/kernel/program.go
+++ b/kernel/program.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -15,6 +14,7 @@
 
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/settings"
+	"github.com/celeryyard/celeryyard/kernel/signals"
 )
 
 // Version is the version of all programs; the build may set it with -ldflags.
@@ -29,6 +29,9 @@
 	ExitUndecided = 4
 )
 
+// lastFlush bounds the wait for an output that takes no lines when the program ends.
+const lastFlush = time.Second
+
 type programFlags struct {
 	Settings    string `short:"s" long:"settings" value-name:"FILE" description:"settings file, JSON with comments"`
 	CheckConfig bool   `long:"check-config" description:"check the settings file and exit"`
@@ -37,8 +40,10 @@
 }
 
 // Main runs a program made of the named plug-ins and returns its exit code.
-// SIGINT and SIGTERM stop it gracefully.
+// SIGINT and SIGTERM stop it gracefully and SIGHUP reloads its settings, also when they
+// come before the plug-ins run; the signals stay caught until the process ends.
 func Main(name string, plugins []string, args []string, stdout, stderr io.Writer) int {
+	signals.Catch()
 	var f programFlags
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := p.AddGroup("Options", "", &f); err != nil {
@@ -83,7 +88,7 @@
 		return ExitUsage
 	}
 	logs := event.NewWriter(os.Stdout)
-	defer logs.Flush()
+	defer logs.FlushWithin(lastFlush)
 	o := Options{Plugins: plugins, Settings: file, Log: logs, Bootstrap: f.Bootstrap, Path: f.Settings}
 	if err := CheckFiles(o); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
@@ -118,21 +123,14 @@
 	}
 }
 
-// runGroup runs the kernel until it ends or a signal asks it to stop.
+// runGroup runs the kernel until it ends by itself or has stopped on request.
 func runGroup(k *Kernel) error {
 	var g run.Group
-	// Both signals stay caught until the process ends: by its default action a SIGHUP
-	// that comes during a planned stop would cut the calls in flight.
-	held := make(chan os.Signal, heldSignals)
-	signal.Notify(held, syscall.SIGHUP, syscall.SIGTERM)
-	go k.logSignals(held)
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return k.Run(ctx) }, func(error) { cancel() })
-	g.Add(run.SignalHandler(context.Background(), os.Interrupt, syscall.SIGTERM))
-	g.Add(func() error { return k.watchSettings(ctx) }, func(error) { cancel() })
-	err := g.Run()
-	if errors.Is(err, run.ErrSignal) {
-		return nil
-	}
-	return err
+	ctx, stop := context.WithCancel(context.Background())
+	watch, end := context.WithCancel(context.Background())
+	g.Add(func() error { return k.Run(ctx) }, func(error) { stop() })
+	// The watchers end after Run: they only ask it to stop, and go on until it has.
+	g.Add(func() error { return k.watchSignals(watch, stop) }, func(error) { end() })
+	g.Add(func() error { return k.watchSettings(watch) }, func(error) { end() })
+	return g.Run()
 }
--- a/kernel/settings/settings.go
+++ b/kernel/settings/settings.go
@@ -81,11 +81,15 @@
 // File is a parsed settings file. It is read-only after Parse.
 type File struct {
 	name     string
+	source   []byte
 	text     []byte
 	sections map[string]jsontext.Value
 	offsets  map[string]int64
 }
 
+// Source returns the text that was parsed. The caller must not change it.
+func (f *File) Source() []byte { return f.source }
+
 // Load reads and parses the file at path.
 func Load(path string) (*File, error) {
 	info, err := os.Stat(path)
@@ -108,7 +112,7 @@
 	if err != nil {
 		return nil, errors.Newf("%s: %s", name, strings.TrimPrefix(err.Error(), "hujson: "))
 	}
-	f := &File{name: name, text: std, sections: map[string]jsontext.Value{}, offsets: map[string]int64{}}
+	f := &File{name: name, source: bytes.Clone(text), text: std, sections: map[string]jsontext.Value{}, offsets: map[string]int64{}}
 	d := jsontext.NewDecoder(bytes.NewReader(std))
 	if k := d.PeekKind(); k != '{' {
 		return nil, errors.Newf("%s:1: settings must be an object with one section per plug-in", name)
--- a/kernel/signal.go
+++ b/kernel/signal.go
@@ -1,12 +1,14 @@
 package kernel
 
 import (
+	"context"
 	"os"
 	"syscall"
 
 	"github.com/rs/zerolog"
 
 	"github.com/celeryyard/celeryyard/kernel/event"
+	"github.com/celeryyard/celeryyard/kernel/signals"
 )
 
 var evSignal = event.Declare(108, zerolog.InfoLevel, "signal received")
@@ -20,14 +22,23 @@
 
 var phaseNames = [...]string{phaseStarting: "starting", phaseRunning: "running", phaseStopping: "stopping"}
 
-// heldSignals bounds the signals that wait to be logged.
-const heldSignals = 16
-
-// logSignals logs each signal with the phase in which it was read. It runs until the
-// process ends.
-func (k *Kernel) logSignals(held <-chan os.Signal) {
-	for s := range held {
-		k.logSignal(s)
+// watchSignals turns the signals of the process into requests to the kernel until ctx
+// ends. It goes on during the planned stop, in which further requests have no effect.
+func (k *Kernel) watchSignals(ctx context.Context, stop func()) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-signals.Stop():
+			k.logSignal(s)
+			stop()
+		case s := <-signals.Reload():
+			k.logSignal(s)
+			select {
+			case k.reloads <- struct{}{}:
+			default: // a waiting request covers this one
+			}
+		}
 	}
 }
 
--- a/kernel/signal_test.go
+++ b/kernel/signal_test.go
@@ -86,6 +86,8 @@
 	cmd     *exec.Cmd
 	reports *bufio.Reader
 	resumes *os.File
+	// settings is the path of the settings file.
+	settings string
 	// seen lists the stages reported so far.
 	seen   []string
 	exited chan struct{}
@@ -117,7 +119,7 @@
 	}
 	reports, reportsEnd := pipe(t)
 	resumesEnd, resumes := pipe(t)
-	s := &staged{t: t, reports: bufio.NewReader(reports), resumes: resumes, exited: make(chan struct{})}
+	s := &staged{t: t, reports: bufio.NewReader(reports), resumes: resumes, settings: file, exited: make(chan struct{})}
 	s.cmd = exec.Command(os.Args[0], "--settings", file)
 	s.cmd.Env = append(os.Environ(), stagesEnv+"="+stages)
 	s.cmd.ExtraFiles = []*os.File{reportsEnd, resumesEnd}
@@ -284,6 +286,22 @@
 	}
 }
 
+// Guards against a change of the settings file that is never noticed, because it comes
+// without a signal between the first reading of the file and the start of the plug-ins.
+func TestChangeDuringTheStartIsNoticed(t *testing.T) {
+	s := startStaged(t, "new", nil)
+	s.reach("new")
+	if err := os.WriteFile(s.settings, []byte(`{"instance": {"name": "t", "stop_timeout": "21s"}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.resume()
+	s.reach("started")
+	s.logged(`"event":106,`)
+	s.deliver(syscall.SIGTERM)
+	s.drains()
+	s.ends()
+}
+
 // Guards against a planned stop that a second signal cuts, with the calls in flight, and
 // against new settings for plug-ins that have stopped.
 func TestSignalDuringThePlannedStop(t *testing.T) {
