kernel: error output that nobody reads does not hold the end

A process whose plug-in failed wrote the failure to its error output without a bound and did not end while nobody read it, so that the platform did not start it again. The error output of Main now goes through the writer of the log, whose last flush waits for 1 s at most. TestErrorOutputThatIsNotReadDelaysTheEndBriefly waited for 30 s in vain before the change and passes in 2.2 s with it.

--- a/kernel/program.go
+++ b/kernel/program.go
@@ -29,7 +29,7 @@
 	ExitUndecided = 4
 )
 
-// lastFlush bounds the wait for an output that takes no lines when the program ends.
+// lastFlush bounds the wait for each output that takes no lines when the program ends.
 const lastFlush = time.Second
 
 type programFlags struct {
@@ -44,6 +44,12 @@
 // come before the plug-ins run; the signals stay caught until the process ends.
 func Main(name string, plugins []string, args []string, stdout, stderr io.Writer) int {
 	signals.Catch()
+	errs := event.NewWriter(stderr)
+	defer errs.FlushWithin(lastFlush)
+	return parseAndRun(name, plugins, args, stdout, errs)
+}
+
+func parseAndRun(name string, plugins []string, args []string, stdout, stderr io.Writer) int {
 	var f programFlags
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := p.AddGroup("Options", "", &f); err != nil {
--- a/kernel/signal_test.go
+++ b/kernel/signal_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -50,6 +51,9 @@
 func (s *stagedPlugin) Start(context.Context) error {
 	s.at("start")
 	s.at("started")
+	if slices.Contains(s.waits, "fail") {
+		return errors.New("disk is broken")
+	}
 	s.at("start returns")
 	return nil
 }
@@ -426,6 +430,23 @@
 	s.ends()
 }
 
+// Guards against a failed process that does not end, and so is not started again, because
+// nobody reads its error output.
+func TestErrorOutputThatIsNotReadDelaysTheEndBriefly(t *testing.T) {
+	_, w := pipe(t)
+	fill(t, w)
+	s := startStaged(t, "fail", w)
+	s.reach("started")
+	select {
+	case <-s.exited:
+	case <-time.After(stagedLimit):
+		t.Fatal("the program did not end")
+	}
+	if code := s.cmd.ProcessState.ExitCode(); code != ExitFailure {
+		t.Errorf("exit code %d, want %d", code, ExitFailure)
+	}
+}
+
 // fill writes to a pipe until it is full.
 func fill(t *testing.T, w *os.File) {
 	t.Helper()
