httpcall: a refusal does not wait for the body of HTTP/1.0 with Expect

Callers with HTTP/1.0, "Connection: keep-alive" and "Expect: 100-continue" got no refusal until their body had come; the connection and its goroutine were held without a bound.

Cause: AnswerUnread leaves requests with Expect to net/http, which answers these before the body. net/http ignores Expect in requests with HTTP/1.0 and reads up to 256 KiB of their bodies before the answer, without a deadline.

Change: only requests with HTTP/1.1 are left to net/http.

Measured: the new row of TestRefusalDoesNotWaitForTheRequest passes; before, no answer within 3 s.

--- a/core/httpcall/body.go
+++ b/core/httpcall/body.go
@@ -71,8 +71,12 @@
 // up to 256 KiB of the body before it sends such an answer and has no deadline for it;
 // here the answer comes first unless the body is there. It blocks for unreadTime at most.
 func AnswerUnread(w http.ResponseWriter, r *http.Request) {
-	// Reading the body would ask a client that expects "100 Continue" for it.
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return
+	}
+	// Reading the body would ask a client that expects "100 Continue" for it. net/http
+	// ignores the header in requests with HTTP/1.0 and waits for their bodies.
+	if r.Header.Get("Expect") != "" && r.ProtoAtLeast(1, 1) {
 		return
 	}
 	rc := http.NewResponseController(w)
--- a/test/dataplane/bounds_test.go
+++ b/test/dataplane/bounds_test.go
@@ -385,6 +385,7 @@
 		"no route, slow":     {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 100\r\n\r\nabc", 404},
 		"malformed timeout":  {"POST / HTTP/1.1\r\nHost: north\r\nCeleryyard-Timeout-Ms: x\r\nContent-Length: 100\r\n\r\n", 400},
 		"no route, large":    {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 10000000\r\n\r\n" + strings.Repeat("x", 200<<10), 404},
+		"no route, HTTP/1.0": {"POST / HTTP/1.0\r\nHost: none\r\nConnection: keep-alive\r\nExpect: 100-continue\r\nContent-Length: 100\r\n\r\n", 404},
 		"no route, has body": {"POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 3\r\n\r\nabc", 404},
 	} {
 		c, err := net.Dial("tcp", n.outbound)
