--- a/kernel/signal_test.go
+++ b/kernel/signal_test.go
@@ -114,8 +114,9 @@
 	return s.log.String()
 }
 
-// startStaged starts the program with its log on stdout; nil collects the log for logged.
-func startStaged(t *testing.T, stages string, stdout *os.File) *staged {
+// startStaged starts the program with further arguments and its log on stdout; nil
+// collects the log for logged.
+func startStaged(t *testing.T, stages string, stdout *os.File, args ...string) *staged {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(file, []byte(`{"instance": {"name": "t", "stop_timeout": "20s"}}`), 0o600); err != nil {
@@ -124,7 +125,7 @@
 	reports, reportsEnd := pipe(t)
 	resumesEnd, resumes := pipe(t)
 	s := &staged{t: t, reports: bufio.NewReader(reports), resumes: resumes, settings: file, exited: make(chan struct{})}
-	s.cmd = exec.Command(os.Args[0], "--settings", file)
+	s.cmd = exec.Command(os.Args[0], append([]string{"--settings", file}, args...)...)
 	s.cmd.Env = append(os.Environ(), stagesEnv+"="+stages)
 	s.cmd.ExtraFiles = []*os.File{reportsEnd, resumesEnd}
 	s.cmd.Stdout, s.cmd.Stderr = s, s
@@ -290,6 +291,26 @@
 	}
 }
 
+// Guards against a check of the settings that an operator cannot interrupt: only a
+// running program keeps the request for later.
+func TestSignalEndsACheckOfTheSettings(t *testing.T) {
+	for name, sig := range requests {
+		t.Run(name, func(t *testing.T) {
+			s := startStaged(t, "check", nil, "--check-config")
+			s.reach("check")
+			_ = s.cmd.Process.Signal(sig)
+			select {
+			case <-s.exited:
+			case <-time.After(stagedLimit):
+				t.Fatal("the program did not end")
+			}
+			if got := s.cmd.ProcessState.Sys().(syscall.WaitStatus); !got.Signaled() || got.Signal() != sig {
+				t.Errorf("the program ended with %v, want %v", s.cmd.ProcessState, sig)
+			}
+		})
+	}
+}
+
 // Guards against a change of the settings file that is never noticed, because it comes
 // without a signal between the first reading of the file and the start of the plug-ins.
 func TestChangeDuringTheStartIsNoticed(t *testing.T) {
