kernel: a check of the settings ends by the default action of signals

Cause: signals are kept for a kernel, and this command runs none. Change: the command gives them their default action again.

--- a/kernel/program.go
+++ b/kernel/program.go
@@ -68,6 +68,9 @@
 		fmt.Fprintf(stderr, "%s: --settings is required\n", name)
 		return ExitUsage
 	}
+	if f.CheckConfig {
+		signals.Release()
+	}
 	return runProgram(name, plugins, f, stdout, stderr)
 }
 
--- a/kernel/signals/signals.go
+++ b/kernel/signals/signals.go
@@ -30,6 +30,10 @@
 	signal.Ignore(syscall.SIGPIPE)
 }
 
+// Release gives the signals their default action again, for a command that runs no kernel
+// and ends at once.
+func Release() { signal.Reset(syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP) }
+
 // Stop returns the channel of requests for a planned stop.
 func Stop() <-chan os.Signal { return stop }
 
