kernel: the test of interrupted checks does not depend on nohup

Cause: nohup has SIGHUP ignored, a program inherits that, and a released signal is ignored again, as it should be. Change: the test catches the signals, so that the program starts with their default actions; what it asks for is unchanged.

--- a/kernel/signal_test.go
+++ b/kernel/signal_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -294,6 +295,11 @@
 // Guards against a check of the settings that an operator cannot interrupt: only a
 // running program keeps the request for later.
 func TestSignalEndsACheckOfTheSettings(t *testing.T) {
+	// A program inherits ignored signals, such as SIGHUP under nohup; what this process
+	// catches has its default action in the program.
+	caught := make(chan os.Signal, 1)
+	signal.Notify(caught, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(caught)
 	for name, sig := range requests {
 		t.Run(name, func(t *testing.T) {
 			s := startStaged(t, "check", nil, "--check-config")
