--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -51,12 +51,10 @@
 	copying time.Duration
 	// buffer is the length up to which nodes read an answer before they pass it on.
 	buffer int
-	// extra names further plug-ins of the nodes.
-	extra []string
-	route resource.Route
-	clust resource.Cluster
-	mu    sync.Mutex
-	nodes []*node
+	route  resource.Route
+	clust  resource.Cluster
+	mu     sync.Mutex
+	nodes  []*node
 }
 
 func newFleet(t testing.TB, slots int) *fleet {
@@ -111,7 +109,7 @@
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q},
 		"outbound": {"listen": %q, "buffer_bytes": %d}, "inbound": {"listen": %q, "buffer_bytes": %d},
 		"idempotency": {"message_timeout": %q, "copy_timeout": %q}}`, n.name, n.zone, f.key, n.outbound, f.buffer, n.inbound, f.buffer, min(time.Second, f.copying), f.copying)
-	n.kernel, n.stop = kerneltest.Start(f.t, append([]string{"peer", "view", "announce", "idempotency", "outbound", "inbound"}, f.extra...), text, false)
+	n.kernel, n.stop = kerneltest.Start(f.t, []string{"peer", "view", "announce", "idempotency", "outbound", "inbound"}, text, false)
 	// At the end of the test the other nodes hand no claims to this one, which stops first.
 	f.t.Cleanup(n.relay.kill)
 	n.view = n.kernel.Service("view").(*fakeView)
