outbound: a call is not offered again to a node that refused it

Cause: the endpoints that a call must avoid were compared by their records. A restart of the upstream replaces the record, so the node was offered the call again; and recordRejection read the node of a record without the table's lock while an update replaced the record.

Change: an endpoint has its node as a field that never changes, and lists of endpoints are compared by it. Ruled out: taking the lock in recordRejection, which mends the race but not the comparison.

--- a/plugin/outbound/balance.go
+++ b/plugin/outbound/balance.go
@@ -95,7 +95,7 @@
 	for _, r := range from.Endpoints {
 		e := old[r.Node]
 		if e == nil || e.Incarnation != r.Incarnation || e.Address != r.Address {
-			e = &endpoint{readySeenAt: now, ownSlowness: 1}
+			e = &endpoint{node: r.Node, readySeenAt: now, ownSlowness: 1}
 		} else if e.State != r.State && r.State == resource.StateReady {
 			e.readySeenAt = now
 		}
@@ -109,7 +109,7 @@
 type pickOptions struct {
 	organisation string
 	priority     int
-	// tried lists the endpoints that must not be selected again.
+	// tried lists the endpoints whose nodes must not be selected again.
 	tried []*endpoint
 	// spillLoad is the load of the best local endpoint above which the call may leave the zone.
 	spillLoad float64
@@ -193,9 +193,11 @@
 	return best
 }
 
+// contains reports whether list has an endpoint on the node of e. It compares nodes, because the
+// record of an endpoint is replaced when its upstream restarts.
 func contains(list []*endpoint, e *endpoint) bool {
 	for _, x := range list {
-		if x == e {
+		if x.node == e.node {
 			return true
 		}
 	}
--- a/plugin/outbound/endpoint.go
+++ b/plugin/outbound/endpoint.go
@@ -30,6 +30,9 @@
 
 // endpoint is an endpoint with this node's measurements of it and the reports of its node.
 type endpoint struct {
+	// node is the node of the endpoint. It never changes, so it may be read without the table's
+	// lock. The embedded record may be replaced at any time while the lock is not held.
+	node string
 	resource.Endpoint
 	// inflight is the number of this node's attempts in progress.
 	inflight int
--- a/plugin/outbound/offer.go
+++ b/plugin/outbound/offer.go
@@ -131,7 +131,7 @@
 	if f.Reason == httpcall.ReasonUpstreamRejected {
 		// The call reached this upstream. If it were offered there again, a second rejection could
 		// be a duplicate of the first one, so the call does not wait at this endpoint any more.
-		c.busy = slices.DeleteFunc(c.busy, func(b *endpoint) bool { return b.Node == e.Node })
+		c.busy = slices.DeleteFunc(c.busy, func(b *endpoint) bool { return b.node == e.node })
 		return
 	}
 	if f.Reason != httpcall.ReasonWaitTooLong && f.Reason != httpcall.ReasonQueueFull {
