--- a/plugin/journal/snapshot.go
+++ b/plugin/journal/snapshot.go
@@ -68,8 +68,11 @@
 	if s.err != nil {
 		return s.err
 	}
-	s.err = s.saveSnapshot(snap, reset)
-	return s.err
+	err := s.saveSnapshot(snap, reset)
+	if !errors.Is(err, ErrNoSpace) {
+		s.err = err
+	}
+	return err
 }
 
 func (s *DiskStore) saveSnapshot(snap replog.Snapshot, reset bool) error {
@@ -86,12 +89,15 @@
 	}
 	resetFlag := uint64(0)
 	if reset {
-		resetFlag, s.lastIndex = 1, snap.Index
+		resetFlag = 1
 	}
-	s.state.Snapshot.Index, s.state.Snapshot.Term = snap.Index, snap.Term
 	if err := s.write(appendUvarintRecord(nil, recordSnapshot, snap.Index, snap.Term, resetFlag)); err != nil {
 		return err
 	}
+	s.state.Snapshot.Index, s.state.Snapshot.Term = snap.Index, snap.Term
+	if reset {
+		s.lastIndex = snap.Index
+	}
 	return s.removeObsolete(reset)
 }
 
--- a/plugin/journal/store.go
+++ b/plugin/journal/store.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -24,8 +25,13 @@
 	Entries []replog.Entry
 }
 
+// ErrNoSpace is the cause of the errors of writes that failed because the disk is full. Nothing of
+// such a batch counts as written, and the same call may be made again.
+var ErrNoSpace = errors.New("no space left on the disk of the journal")
+
 // DiskStore is a journal on disk. It is not safe for concurrent use. After a failed write or sync
-// every further write fails with the same error, because the state of the disk is unknown.
+// every further write fails with the same error, because the state of the disk is unknown. ErrNoSpace
+// is the exception.
 type DiskStore struct {
 	fs           FS
 	dir          string
@@ -57,8 +63,14 @@
 	if s.err != nil {
 		return s.err
 	}
-	s.err = s.save(b)
-	return s.err
+	before, lastIndex, segmentMaxIndex := s.state, s.lastIndex, s.segmentMaxIndex
+	err := s.save(b)
+	if errors.Is(err, ErrNoSpace) {
+		s.state, s.lastIndex, s.segmentMaxIndex = before, lastIndex, segmentMaxIndex
+		return err
+	}
+	s.err = err
+	return err
 }
 
 func (s *DiskStore) save(b Batch) error {
@@ -95,44 +107,63 @@
 		}
 	}
 	if s.sizeBytes > s.segmentBytes {
-		return s.rotate()
+		if err := s.rotate(); !errors.Is(err, ErrNoSpace) {
+			return err
+		}
+		// The batch is written. The open segment grows until there is space for the next one.
 	}
 	return nil
 }
 
-// write appends a frame with the payload to the open segment and syncs it.
+// write appends a frame with the payload to the open segment and syncs it. If the disk is full, it
+// removes what was written of the frame, so that the frame can be written again.
 func (s *DiskStore) write(payload []byte) error {
 	frame := appendFrame(nil, s.salt, s.sizeBytes, payload)
-	if _, err := s.file.Write(frame); err != nil {
-		return errors.Wrapf(err, "write %s", segmentName(s.seq))
+	_, err := s.file.Write(frame)
+	if err == nil {
+		err = s.file.Sync()
 	}
-	s.sizeBytes += int64(len(frame))
-	return errors.Wrapf(s.file.Sync(), "sync %s", segmentName(s.seq))
+	if err == nil {
+		s.sizeBytes += int64(len(frame))
+		return nil
+	}
+	if isNoSpace(err) {
+		if err := s.file.Truncate(s.sizeBytes); err != nil {
+			return errors.Wrapf(err, "remove an incomplete write from %s", segmentName(s.seq))
+		}
+		err = errors.Mark(err, ErrNoSpace)
+	}
+	return errors.Wrapf(err, "write %s", segmentName(s.seq))
 }
 
-// rotate closes the open segment, if any, and starts the next one. The new file is renamed to its
+func isNoSpace(err error) bool {
+	return err != nil && errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT)
+}
+
+// rotate starts the next segment and closes the open one, if any. The new file is renamed to its
 // final name only after its content is synced, so a segment always has a valid header and first
 // frame.
 func (s *DiskStore) rotate() error {
+	seq, salt := s.seq+1, s.newSalt()
+	b := appendSegmentHeader(nil, seq, salt)
+	payload := appendUvarintRecord(nil, recordHead, s.lastIndex)
+	payload = appendUvarintRecord(payload, recordHardState, s.state.HardState.Term, uint64(s.state.HardState.Vote), s.state.HardState.Commit)
+	payload = appendUvarintRecord(payload, recordReleased, s.state.ReleasedVersion)
+	payload = appendUvarintRecord(payload, recordMemberID, uint64(s.state.MemberID))
+	payload = appendUvarintRecord(payload, recordSnapshot, s.state.Snapshot.Index, s.state.Snapshot.Term, 0)
+	b = appendFrame(b, salt, int64(len(b)), payload)
+	file, err := s.writeFile(segmentName(seq), b)
+	if err != nil {
+		return err
+	}
 	if s.file != nil {
 		if err := s.file.Close(); err != nil {
 			return errors.Wrapf(err, "close %s", segmentName(s.seq))
 		}
 		s.closedSegments = append(s.closedSegments, segmentInfo{s.seq, s.segmentMaxIndex})
 	}
-	s.seq++
-	s.salt, s.segmentMaxIndex = s.newSalt(), 0
-	b := appendSegmentHeader(nil, s.seq, s.salt)
-	payload := appendUvarintRecord(nil, recordHead, s.lastIndex)
-	payload = appendUvarintRecord(payload, recordHardState, s.state.HardState.Term, uint64(s.state.HardState.Vote), s.state.HardState.Commit)
-	payload = appendUvarintRecord(payload, recordReleased, s.state.ReleasedVersion)
-	payload = appendUvarintRecord(payload, recordMemberID, uint64(s.state.MemberID))
-	payload = appendUvarintRecord(payload, recordSnapshot, s.state.Snapshot.Index, s.state.Snapshot.Term, 0)
-	b = appendFrame(b, s.salt, int64(len(b)), payload)
-	s.sizeBytes = int64(len(b))
-	file, err := s.writeFile(segmentName(s.seq), b)
-	s.file = file
-	return err
+	s.file, s.seq, s.salt, s.sizeBytes, s.segmentMaxIndex = file, seq, salt, int64(len(b)), 0
+	return nil
 }
 
 // writeFile writes and syncs a file under a temporary name, renames it to its final name, syncs the
@@ -141,11 +172,20 @@
 	path := filepath.Join(s.dir, name)
 	f, err := s.fs.Create(path + ".tmp")
 	if err != nil {
+		if isNoSpace(err) {
+			err = errors.Mark(err, ErrNoSpace)
+		}
 		return nil, errors.Wrapf(err, "create %s", name)
 	}
 	if _, err = f.Write(b); err == nil {
 		err = f.Sync()
 	}
+	if isNoSpace(err) {
+		// Under its final name, the file would change what a recovery reads.
+		if removeErr := s.fs.Remove(path + ".tmp"); removeErr == nil {
+			err = errors.Mark(err, ErrNoSpace)
+		}
+	}
 	if err == nil {
 		err = s.fs.Rename(path+".tmp", path)
 	}
