quorum: open groups connect to all members, bear the losses they should, elect on slow disks

Four causes of a group that decides nothing or loses what it acknowledged:

Instances knew only the seeds and those that had asked them to join. Endpoint records had the same gap. A candidate gave up before the votes were on the voters' disks when a sync took longer than about half of the election timeout, for as long as it did. A candidate now waits for its own vote, counts late votes of its term, and members defer their campaign once to one that they granted a pre-vote. A full disk ended the process. The write is tried again; meanwhile the member does not vote, reports so with its heartbeat responses, follows the log in memory, and tells its nodes to move. The same holds for a write that hangs.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -26,6 +26,8 @@
 	// follower, when the last message of such a leader arrived. It is zero if the index was
 	// not confirmed since the start.
 	Confirmed time.Time `json:"confirmed"`
+	// WritePending is how long the instance has been trying to complete a write to its disk.
+	WritePending time.Duration `json:"-"`
 	// Voters lists the names of the voting instances.
 	Voters []string `json:"voters"`
 	// Learners lists the names of the instances that receive the log and do not vote.
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -57,11 +57,16 @@
 	return out
 }
 
-// isIsolated reports whether this instance has had no contact with the quorum for longer than
-// IsolatedAfter. The time before the start of the process does not count: when all instances restart
+// isIsolated reports whether this instance cannot bring its nodes up to date: for longer than
+// IsolatedAfter it has had no contact with the quorum, or its disk, which must hold a version before
+// it is released, has completed no write. The time before the start of the process does not count: when all instances restart
 // together, all nodes would otherwise move to another instance before the first election ends.
 func (d *Distribution) isIsolated(now time.Time) bool {
-	since := d.log.Status().Confirmed
+	status := d.log.Status()
+	if status.WritePending > d.s.IsolatedAfter.AsDuration() {
+		return true
+	}
+	since := status.Confirmed
 	if since.Before(d.startedAt) {
 		since = d.startedAt
 	}
--- a/plugin/quorum/apply.go
+++ b/plugin/quorum/apply.go
@@ -107,8 +107,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s, ok := q.core.DescribeSnapshot(index)
-	if !ok || index <= q.core.SnapshotIndex() {
-		return true // a snapshot from the leader has replaced the log
+	if !ok || index <= q.core.SnapshotIndex() || index > q.core.StableIndex() {
+		return true // a snapshot from the leader has replaced the log, or the disk is blocked
 	}
 	s.Data = data
 	q.disk.snapshot, q.disk.takenIndex = &s, index
--- a/plugin/quorum/disk.go
+++ b/plugin/quorum/disk.go
@@ -1,12 +1,19 @@
 package quorum
 
 import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/core/replog"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/plugin/journal"
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
 
+// diskRetryInterval is the time between two attempts to write to a full disk.
+const diskRetryInterval = raft.Instant(250 * time.Millisecond)
+
 // diskQueue holds the pending work of the disk job; Quorum.mu guards it.
 type diskQueue struct {
 	save            *raft.Save
@@ -19,8 +26,14 @@
 	// takenIndex is the index of the newest snapshot taken by this instance.
 	takenIndex uint64
 	running    bool
-	stopped    bool
-	idle       chan struct{} // set by stop; closed once no job is running
+	// pendingSince is the time at which the oldest unfinished write was first tried; 0 if none is
+	// pending.
+	pendingSince raft.Instant
+	// full is set while writes fail because the disk is full. They are tried again at retryAt.
+	full    bool
+	retryAt raft.Instant
+	stopped bool
+	idle    chan struct{} // set by stop; closed once no job is running
 }
 
 // releaseRequest is a pending call of SyncReleasedVersion.
@@ -46,8 +59,12 @@
 
 // scheduleDisk queues the disk job if it has work and is not running; mu is held.
 func (q *Quorum) scheduleDisk() {
-	if q.disk.hasWork() && !q.disk.running && !q.disk.stopped {
-		q.disk.running = q.c.TryGo(diskKey, q.runDiskJob) == nil
+	if !q.disk.hasWork() || q.disk.running || q.disk.stopped || q.disk.full && q.now() < q.disk.retryAt {
+		return
+	}
+	q.disk.running = q.c.TryGo(diskKey, q.runDiskJob) == nil
+	if q.disk.running && q.disk.pendingSince == 0 {
+		q.disk.pendingSince = q.now()
 	}
 }
 
@@ -67,6 +84,13 @@
 		s, loadErr := q.journal.LoadSnapshot()
 		load(s, loadErr)
 	}
+	if errors.Is(err, journal.ErrNoSpace) {
+		q.mu.Lock()
+		q.postponeWrite(&work, err)
+		q.mu.Unlock()
+		runCalls(q.lockAndTakeDeferred())
+		return
+	}
 	if err != nil {
 		q.c.Fail(err)
 	}
@@ -112,11 +136,46 @@
 	return nil
 }
 
+// postponeWrite keeps the work of a write that failed because the disk is full, for another attempt;
+// mu is held. Until then the instance takes no part in votes and acknowledges no entries, but follows
+// the log in memory. A leader passes its leadership on.
+func (q *Quorum) postponeWrite(work *diskQueue, err error) {
+	q.disk.running, q.disk.retryAt = false, q.now()+diskRetryInterval
+	q.disk.save = work.save // the core returns no other Save until this one is reported
+	q.disk.releaseRequests = append(work.releaseRequests, q.disk.releaseRequests...)
+	if q.disk.stopped && q.disk.idle != nil {
+		close(q.disk.idle)
+		q.disk.idle = nil
+	}
+	if q.disk.full {
+		return
+	}
+	q.disk.full = true
+	q.core.SetDiskBlocked(true)
+	if q.core.State() == raft.Leader {
+		q.core.TransferLeadership(q.now())
+	}
+	q.afterUnlock(func() { q.c.Log.Log(evDiskFull).Err(err).Send() })
+}
+
+// endDiskFull records that a write has succeeded; mu is held.
+func (q *Quorum) endDiskFull() {
+	if !q.disk.full {
+		return
+	}
+	q.disk.full = false
+	q.core.SetDiskBlocked(false)
+	q.afterUnlock(func() { q.c.Log.Log(evDiskFreed).Send() })
+}
+
 // finishWrite reports the result of a write to the core and to the callers of
 // SyncReleasedVersion, and returns the messages to send; mu is held. After an error it
 // returns none, because they depend on the write, and the process ends.
 func (q *Quorum) finishWrite(work *diskQueue, err error) map[string]*stepMessage {
-	q.disk.running, q.disk.commit = false, work.commit
+	q.disk.running, q.disk.commit, q.disk.pendingSince = false, work.commit, 0
+	if err == nil {
+		q.endDiskFull()
+	}
 	for _, r := range work.releaseRequests {
 		if err == nil {
 			q.disk.releasedVersion = max(q.disk.releasedVersion, r.version)
--- /dev/null
+++ b/plugin/quorum/export_test.go
@@ -0,0 +1,51 @@
+package quorum
+
+import (
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/plugin/journal"
+)
+
+// FullDisk replaces the journal of an instance by one whose writes fail while Full is set.
+type FullDisk struct {
+	storage
+	Full atomic.Bool
+}
+
+// NewFullDisk installs a FullDisk with free space in q.
+func NewFullDisk(q *Quorum) *FullDisk {
+	for {
+		q.mu.Lock()
+		if !q.disk.running {
+			f := &FullDisk{storage: q.journal}
+			q.journal = f
+			q.mu.Unlock()
+			return f
+		}
+		q.mu.Unlock()
+	}
+}
+
+func (f *FullDisk) check() error {
+	if f.Full.Load() {
+		return errors.Mark(errors.New("write: no space left on device"), journal.ErrNoSpace)
+	}
+	return nil
+}
+
+func (f *FullDisk) Save(b journal.Batch) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	return f.storage.Save(b)
+}
+
+func (f *FullDisk) SaveSnapshot(s replog.Snapshot, reset bool) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	return f.storage.SaveSnapshot(s, reset)
+}
--- a/plugin/quorum/faults_test.go
+++ b/plugin/quorum/faults_test.go
@@ -71,7 +71,7 @@
 	}
 	c, ok := raft.NextChange(n.core.Config(), s.voters, n.pendingJoins, n.core.CommitIndex(), n.core.Progress())
 	if s.openVoterCount > 0 {
-		c, ok = raft.NextOpenGroupChange(n.core.Config(), raft.OpenGroupOptions{TargetVoters: s.openVoterCount, ReplaceVoterAfter: simReplaceAfter, RemoveLearnerAfter: simRemoveAfter}, n.pendingJoins, n.core.CommitIndex(), n.core.Progress())
+		c, ok = raft.NextOpenGroupChange(n.core.Config(), raft.OpenGroupOptions{TargetVoters: s.openVoterCount, ReplaceVoterAfter: simReplaceAfter, RemoveLearnerAfter: simRemoveAfter, Zones: s.zones}, n.pendingJoins, n.core.CommitIndex(), n.core.Progress())
 	}
 	if ok {
 		if n.core.ProposeConfig(s.localTime(n), c.Config) == nil {
@@ -137,9 +137,13 @@
 }
 
 func (s *sim) propose(n *simNode) {
-	if !isUp(n) || s.faultFree {
-		return
+	if isUp(n) && !s.faultFree {
+		s.proposeText(n)
 	}
+}
+
+// proposeText proposes a new text at a running instance and returns it.
+func (s *sim) proposeText(n *simNode) string {
 	s.textCount++
 	text := fmt.Sprintf("%s-%d", n.name, s.textCount)
 	n.proposals.add([]byte(text), s.localTime(n)+500*ms, func(_ any, err error) {
@@ -162,20 +166,21 @@
 	leader := s.nodeOfMember(n.core.Leader())
 	if leader == nil || !isUp(leader) || s.partition[leader.name] != s.partition[n.name] {
 		n.proposals.expire(1<<62, true, func(f func()) { f() })
-		return
+		return text
 	}
 	p.mayBeAppended = true
 	index, term, err := leader.core.Propose(s.localTime(leader), p.data)
 	if err != nil {
 		p.mayBeAppended = false
 		n.proposals.expire(1<<62, true, func(f func()) { f() })
-		return
+		return text
 	}
 	if s.rng.IntN(5) > 0 { // otherwise the leader's response is lost
 		n.proposals.setPosition(p, index, term)
 	}
 	leader.core.Flush(s.localTime(leader))
 	s.handleReady(leader)
+	return text
 }
 
 func (s *sim) read(n *simNode) {
--- a/plugin/quorum/join.go
+++ b/plugin/quorum/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,10 @@
 // requestTimeout bounds the wait for the response to a request to join or to form a group.
 const requestTimeout = 2 * time.Second
 
+// fewVotersDelay is the time for which a group may have too few voters before that is logged. An
+// instance that replaces a voter needs about ReplaceAfter.
+const fewVotersDelay = raft.Instant(5 * time.Second)
+
 // maintainMembership proposes membership changes on the leader; on other instances it
 // sends the requests that form or join a group; mu is held.
 func (q *Quorum) maintainMembership(now raft.Instant) {
@@ -54,6 +59,7 @@
 	if q.core.HasPendingConfig() {
 		return
 	}
+	q.observeVoters(now, len(config.VoterIDs()))
 	next, ok := q.nextChange(config)
 	if !ok {
 		q.pendingJoins = nil
@@ -68,13 +74,33 @@
 	})
 }
 
+// observeVoters logs on the leader of an open group when the group has had too few voters for
+// fewVotersDelay, and when it has enough again; mu is held.
+func (q *Quorum) observeVoters(now raft.Instant, voters int) {
+	switch {
+	case voters >= q.s.targetVoters():
+		if q.fewVotersLogged {
+			q.afterUnlock(func() { q.c.Log.Log(evEnoughVoters).Int("voters", voters).Send() })
+		}
+		q.fewVotersSince, q.fewVotersLogged = 0, false
+	case q.fewVotersSince == 0:
+		q.fewVotersSince = now
+	case !q.fewVotersLogged && now-q.fewVotersSince >= fewVotersDelay:
+		q.fewVotersLogged = true
+		q.afterUnlock(func() {
+			q.c.Log.Log(evFewVoters).Int("voters", voters).Int("wanted", q.s.targetVoters()).Int("tolerated_now", (voters-1)/2).Send()
+		})
+	}
+}
+
 // nextChange returns the next membership change, if any; mu is held.
 func (q *Quorum) nextChange(config replog.Config) (raft.Change, bool) {
 	if q.s.OpenVoters > 0 {
-		if !raft.MayNeedOpenGroupChange(&config, len(q.pendingJoins)) {
+		o := q.openGroupOptions()
+		if !raft.MayNeedOpenGroupChange(&config, o.TargetVoters, len(q.pendingJoins)) {
 			return raft.Change{}, false
 		}
-		return raft.NextOpenGroupChange(config, q.openGroupOptions(), q.pendingJoins, q.core.CommitIndex(), q.core.Progress())
+		return raft.NextOpenGroupChange(config, o, q.pendingJoins, q.core.CommitIndex(), q.core.Progress())
 	}
 	if !raft.MayNeedChange(&config, q.s.Voters, len(q.pendingJoins)) {
 		return raft.Change{}, false
@@ -84,7 +110,17 @@
 
 func (q *Quorum) openGroupOptions() raft.OpenGroupOptions {
 	return raft.OpenGroupOptions{
-		TargetVoters: q.s.OpenVoters, ReplaceVoterAfter: raft.Instant(q.s.ReplaceAfter.AsDuration()), RemoveLearnerAfter: raft.Instant(q.s.ForgetAfter.AsDuration()),
+		TargetVoters: q.s.targetVoters(), ReplaceVoterAfter: raft.Instant(q.s.ReplaceAfter.AsDuration()),
+		RemoveLearnerAfter: raft.Instant(q.s.ForgetAfter.AsDuration()), Zones: q.zones,
+	}
+}
+
+// learnZone records the availability zone of an instance, by which the leader spreads the voters.
+func (q *Quorum) learnZone(m peer.Member) {
+	if m.AvailabilityZone != "" {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.zones[m.Name] = m.AvailabilityZone
 	}
 }
 
@@ -123,14 +159,37 @@
 	m := joinRequest{ID: q.memberID, Commit: q.core.CommitIndex(), Member: isMember, AvailabilityZone: q.c.Instance.AvailabilityZone}
 	q.requestAll("quorum.join", m, func(_ string, raw []byte) {
 		var resp joinResponse
-		if json.Unmarshal(raw, &resp) == nil && resp.Removed {
+		if json.Unmarshal(raw, &resp) != nil {
+			return
+		}
+		for _, name := range resp.Instances {
+			q.peer.LearnByName(name, "")
+		}
+		if resp.Removed {
 			q.c.Log.Log(evMemberRemoved).Str("member", q.memberID.String()).Send()
 			q.c.Fail(errors.Newf("member %s was removed from the group; start with an empty data folder", q.memberID))
 		}
 	})
 }
 
-// onJoin handles a request to join. Only the leader accepts it.
+// learnMembers connects this instance to every member of the newest configuration of an open group;
+// mu is held. An instance learns of the others from its seeds only, and these may not be the ones
+// that lead, vote or hold endpoint records.
+func (q *Quorum) learnMembers() {
+	config := q.core.Config()
+	if !q.peer.IsOpenFleet() || slices.Equal(config.Members, q.learnedMembers) {
+		return
+	}
+	q.learnedMembers = config.Members
+	q.afterUnlock(func() {
+		for _, m := range config.Members {
+			q.peer.LearnByName(m.Name, "")
+		}
+	})
+}
+
+// onJoin handles a request to join. Only the leader accepts it. Any member of an open group answers
+// with the instances that it knows, one of which may be the leader.
 func (q *Quorum) onJoin(c *rpc.Conn, r *rpc.Request) {
 	var m joinRequest
 	if err := r.Decode(&m); err != nil || m.ID == 0 {
@@ -140,6 +199,12 @@
 	name := c.Peer
 	q.submit(func(raft.Instant) {
 		resp, err := q.registerJoin(m, name)
+		if q.peer.IsOpenFleet() {
+			resp.Instances = q.memberInstances()
+			if errors.Is(err, raft.ErrNotLeader) && len(resp.Instances) > 0 {
+				err = nil
+			}
+		}
 		q.afterUnlock(func() {
 			if err != nil {
 				r.ReplyError(rpc.CodeNotLeader, err)
@@ -150,17 +215,26 @@
 	})
 }
 
+// memberInstances returns the instance names of the members of the group; mu is held.
+func (q *Quorum) memberInstances() []string {
+	var names []string
+	for _, m := range q.core.Config().Members {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // registerJoin queues an instance to be added to the group by a membership change, unless it
 // is a member. A former member of a group with listed voters is not queued: the response
 // reports that it was removed; mu is held.
 func (q *Quorum) registerJoin(m joinRequest, name string) (joinResponse, error) {
+	q.afterUnlock(func() { q.peer.LearnByName(name, m.AvailabilityZone) })
 	if q.core.State() != raft.Leader {
 		return joinResponse{}, raft.ErrNotLeader
 	}
 	if _, known := q.links[name]; !known && !q.peer.IsOpenFleet() {
 		return joinResponse{}, errors.Newf("instance %q is not in the list of instances", name)
 	}
-	q.afterUnlock(func() { q.peer.LearnByName(name, m.AvailabilityZone) })
 	q.learnName(m.ID, name)
 	config := q.core.Config()
 	if _, ok := config.Find(m.ID); ok {
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -40,6 +40,10 @@
 	evMemberRemoved     = event.Declare(359, zerolog.ErrorLevel, "member was removed from the group; restart it with an empty data folder")
 	evMalformedMessage  = event.Declare(360, zerolog.WarnLevel, "malformed message from another instance")
 	evSnapshotNotSent   = event.Declare(361, zerolog.WarnLevel, "snapshot could not be sent")
+	evFewVoters         = event.Declare(363, zerolog.WarnLevel, "group has fewer voters than the tolerated losses require")
+	evEnoughVoters      = event.Declare(364, zerolog.InfoLevel, "group has the voters that the tolerated losses require")
+	evDiskFull          = event.Declare(365, zerolog.ErrorLevel, "disk is full; the instance does not vote until a write succeeds")
+	evDiskFreed         = event.Declare(366, zerolog.InfoLevel, "disk accepts writes again")
 	evBootstrapIgnored  = event.Declare(362, zerolog.WarnLevel, "bootstrap ignored: the data folder belongs to a group")
 )
 
@@ -90,6 +94,14 @@
 	pumpScheduled bool // pump is queued on the pool
 	stopping      bool
 	memberNames   map[replog.MemberID]string // instance names learned from messages
+	// learnedMembers holds the members of the configuration that learnMembers has seen last.
+	learnedMembers []replog.Member
+	// fewVotersSince is when this instance, as the leader, found the group with fewer voters than
+	// its target; 0 if it has enough. fewVotersLogged is set once that is logged.
+	fewVotersSince  raft.Instant
+	fewVotersLogged bool
+	// zones holds the availability zones of the instances, by instance name.
+	zones         map[string]string
 	leaderState   leaderState
 	deferredFuncs []func()     // to be called after mu is released
 	nextExpiry    raft.Instant // next scan for expired proposals and barriers
@@ -125,7 +137,7 @@
 	q := &Quorum{
 		c: c, s: c.Settings.(*Settings), mu: rank.NewMutex(rank.Quorum), journal: j, takeRecovered: j.TakeRecoveredState, peer: kernel.MustFind[*peer.Peer](c, "peer"),
 		memberNames: map[replog.MemberID]string{}, stateMachine: noopStateMachine{},
-		sending: map[replog.MemberID]bool{}, links: map[string]*peer.Link{},
+		sending: map[replog.MemberID]bool{}, links: map[string]*peer.Link{}, zones: map[string]string{c.Instance.Name: c.Instance.AvailabilityZone},
 	}
 	if q.isInitialVoter() && !j.IsDurable() {
 		return nil, errors.Newf("instance %q is listed as a voter but has no data folder", c.Instance.Name)
@@ -149,6 +161,7 @@
 		return -1
 	})
 	q.peer.OnInstanceUpdate(q.connect)
+	q.peer.OnInstanceUpdate(q.learnZone)
 	q.peer.Handle("quorum.step", q.onStep)
 	q.peer.Handle("quorum.propose", q.onPropose)
 	q.peer.Handle("quorum.barrier", q.onBarrier)
@@ -311,6 +324,9 @@
 	if at, ok := q.core.CommitCurrentAt(); ok {
 		s.Confirmed = q.startTime.Add(time.Duration(at))
 	}
+	if q.disk.pendingSince != 0 {
+		s.WritePending = time.Duration(q.now() - q.disk.pendingSince)
+	}
 	config := q.core.CommittedConfig()
 	for _, m := range config.Members {
 		if m.Voter {
--- a/plugin/quorum/pump.go
+++ b/plugin/quorum/pump.go
@@ -37,6 +37,7 @@
 		f(now)
 	}
 	q.core.Tick(now)
+	q.learnMembers()
 	q.routeProposals(now)
 	q.startBarriers(now)
 	q.maintainMembership(now)
--- a/plugin/quorum/quorum_test.go
+++ b/plugin/quorum/quorum_test.go
@@ -92,6 +92,8 @@
 	extraSettings string // JSON members appended to the quorum settings, with a leading comma
 	machines      map[string]*testMachine
 	stop          map[string]func()
+	// settingsOf returns the settings of an instance; nil for a group with listed voters.
+	settingsOf func(name string) string
 }
 
 var testPlugins = []string{"peer", "journal", "quorum", "testmachine"}
@@ -141,6 +143,9 @@
 }
 
 func (g *group) settings(name string) string {
+	if g.settingsOf != nil {
+		return g.settingsOf(name)
+	}
 	var list []string
 	for _, n := range g.names {
 		list = append(list, fmt.Sprintf(`{"name": %q, "address": %q}`, n, g.addresses[n]))
--- a/plugin/quorum/raft/core.go
+++ b/plugin/quorum/raft/core.go
@@ -41,7 +41,16 @@
 	electionDeadline Instant
 	// lastLeaderContact is the time of the last message from the leader.
 	lastLeaderContact Instant
-	votes             map[replog.MemberID]bool // true if granted, false if refused
+	votes             map[replog.MemberID]bool // votes or pre-votes of this campaign: true if granted, false if refused
+	// termVotes holds the members that have voted for this member in the current term. It is kept
+	// during later pre-votes, because voters with slow disks answer after the election timeout.
+	termVotes map[replog.MemberID]bool
+	// deferredTo is the highest term for which this member has granted a pre-vote and deferred its
+	// own campaign.
+	deferredTo uint64
+	// saveStartedAt is the time at which the last Save was returned by Ready, and saveTime is the
+	// duration of the last save that was completed.
+	saveStartedAt, saveTime Instant
 	// commitCurrentAt is the latest time at which the commit index of this member is known to
 	// have been current.
 	commitCurrentAt Instant
@@ -49,6 +58,8 @@
 	commitCurrentKnown bool
 
 	leaderState leaderState
+	// diskBlocked is set while the disk of this member accepts no writes.
+	diskBlocked bool
 
 	messages          []Message // may be sent before the next save
 	messagesAfterSave []Message // must wait for the next save
@@ -81,15 +92,20 @@
 		c.tickLeader()
 		return
 	}
-	if now < c.electionDeadline {
-		return
+	if now < c.electionDeadline || c.state == Candidate && c.savedHardState.Term != c.term {
+		return // a candidate requests votes once its own vote is on disk
 	}
 	c.resetElectionDeadline()
-	if c.log.config().IsVoter(c.opts.ID) {
+	if c.log.config().IsVoter(c.opts.ID) && !c.diskBlocked {
 		c.campaign(PreCandidate, false)
 	}
 }
 
+// SetDiskBlocked tells the core whether the disk of this member accepts no writes. While it does
+// not, the member starts no election and applies committed entries that it has not saved: they are
+// on the disks of a majority.
+func (c *Core) SetDiskBlocked(blocked bool) { c.diskBlocked = blocked }
+
 // Step handles a message. Messages for another member are ignored.
 func (c *Core) Step(now Instant, m Message) {
 	c.now = now
@@ -176,7 +192,7 @@
 	if term > c.term {
 		c.term, c.vote = term, 0
 	}
-	c.state, c.leader, c.votes = Follower, leader, nil
+	c.state, c.leader, c.votes, c.termVotes = Follower, leader, nil, nil
 	c.leaderState = leaderState{}
 	c.resetElectionDeadline()
 }
@@ -194,8 +210,9 @@
 	c.electionDeadline = c.now + c.opts.ElectionTimeout + Instant(c.opts.Rand.Int64N(int64(c.opts.ElectionTimeout)*2/3+1))
 }
 
-// send queues a message. Messages of a leader and heartbeat responses may be sent once the term
-// and the vote are on disk; other messages wait until the whole current state is saved.
+// send queues a message. Heartbeat responses promise nothing that a crash could undo, and are sent
+// immediately. Messages of a leader may be sent once the term and the vote are on disk; other
+// messages wait until the whole current state is saved.
 func (c *Core) send(m Message) {
 	m.From = c.opts.ID
 	if m.Term == 0 {
@@ -212,12 +229,11 @@
 }
 
 func (c *Core) mayPrecedeSave(m Message) bool {
-	if c.savedHardState.Term != c.term || c.savedHardState.Vote != c.vote {
-		return false
-	}
 	switch m.Type {
-	case MsgAppend, MsgHeartbeat, MsgSnapshot, MsgTimeoutNow, MsgHeartbeatResp:
+	case MsgHeartbeatResp:
 		return true
+	case MsgAppend, MsgHeartbeat, MsgSnapshot, MsgTimeoutNow:
+		return c.savedHardState.Term == c.term && c.savedHardState.Vote == c.vote
 	}
 	return false
 }
--- a/plugin/quorum/raft/election.go
+++ b/plugin/quorum/raft/election.go
@@ -9,6 +9,7 @@
 	if state == Candidate {
 		c.term++
 		c.vote = c.opts.ID
+		c.termVotes = map[replog.MemberID]bool{c.opts.ID: true}
 		term, typ = c.term, MsgVote
 	}
 	c.state, c.leader = state, 0
@@ -19,7 +20,7 @@
 	} else {
 		c.resetElectionDeadline()
 	}
-	if c.hasMajorityVote() {
+	if c.hasMajority(c.votes) {
 		c.advanceCampaign()
 		return
 	}
@@ -54,31 +55,60 @@
 	if m.Type == MsgVote {
 		c.vote = m.From
 		c.resetElectionDeadline()
+	} else {
+		c.deferCampaign(m.Term)
 	}
 	c.send(Message{Type: m.Type + 1, To: m.From, Term: m.Term})
 }
 
+// deferCampaign gives a member that has been granted a pre-vote the time to be elected: while it
+// saves its own vote, the others would otherwise all become candidates of the same term too, and
+// split the votes. A campaign is deferred once per term, so that a member whose requests arrive but
+// that cannot win does not prevent elections.
+func (c *Core) deferCampaign(term uint64) {
+	if c.state == Leader || term <= c.deferredTo {
+		return
+	}
+	c.deferredTo = term
+	c.resetElectionDeadline()
+	c.electionDeadline += c.saveTime
+}
+
 func (c *Core) handleVoteResp(m Message) {
-	switch {
-	case m.Type == MsgPreVoteResp && c.state == PreCandidate && (m.Reject || m.Term == c.term+1):
-	case m.Type == MsgVoteResp && c.state == Candidate:
-	default:
+	if m.Type == MsgVoteResp {
+		c.handleTermVote(m)
+		return
+	}
+	if c.state != PreCandidate || !m.Reject && m.Term != c.term+1 {
 		return
 	}
 	if _, ok := c.votes[m.From]; ok {
 		return
 	}
 	c.votes[m.From] = !m.Reject
-	if c.hasMajorityVote() {
+	if c.hasMajority(c.votes) {
 		c.advanceCampaign()
 	}
 }
 
-// hasMajorityVote reports whether a majority of the voters have granted their vote.
-func (c *Core) hasMajorityVote() bool {
+// handleTermVote counts a vote for this member in the current term. The vote is valid for as long as
+// the term lasts, so it also counts after the candidate has timed out and begun the next pre-vote:
+// otherwise no member could be elected while the disks are slower than the election timeout.
+func (c *Core) handleTermVote(m Message) {
+	if m.Reject || c.termVotes == nil || c.state != Candidate && c.state != PreCandidate {
+		return
+	}
+	c.termVotes[m.From] = true
+	if c.hasMajority(c.termVotes) {
+		c.becomeLeader()
+	}
+}
+
+// hasMajority reports whether a majority of the voters have granted their vote.
+func (c *Core) hasMajority(granting map[replog.MemberID]bool) bool {
 	granted, voters := 0, c.log.config().VoterIDs()
 	for _, id := range voters {
-		if c.votes[id] {
+		if granting[id] {
 			granted++
 		}
 	}
@@ -86,7 +116,7 @@
 }
 
 func (c *Core) handleTimeoutNow(m Message) {
-	if c.state == Follower && m.From == c.leader && c.log.config().IsVoter(c.opts.ID) {
+	if c.state == Follower && m.From == c.leader && !c.diskBlocked && c.log.config().IsVoter(c.opts.ID) {
 		c.campaign(Candidate, true)
 	}
 }
@@ -94,7 +124,7 @@
 // becomeLeader appends an empty entry: a leader commits entries of earlier terms only together
 // with one of its own term, and answers reads only after such a commit.
 func (c *Core) becomeLeader() {
-	c.state, c.leader = Leader, c.opts.ID
+	c.state, c.leader, c.termVotes = Leader, c.opts.ID, nil
 	c.leaderState = leaderState{electedAt: c.now, nextHeartbeat: c.now, progress: map[replog.MemberID]*progress{}}
 	c.syncProgress()
 	c.append(replog.Entry{Kind: replog.KindEmpty})
--- a/plugin/quorum/raft/follow.go
+++ b/plugin/quorum/raft/follow.go
@@ -30,7 +30,11 @@
 	// acknowledged, so the logs match up to that index.
 	c.log.commit = max(c.log.commit, min(m.Commit, c.log.lastIndex()))
 	c.recordEcho(m)
-	c.send(Message{Type: MsgHeartbeatResp, To: m.From, Round: m.Round, Timestamp: c.now})
+	resp := Message{Type: MsgHeartbeatResp, To: m.From, Round: m.Round, Timestamp: c.now}
+	if c.diskBlocked {
+		resp.Reject, resp.Hint, resp.HintTerm = true, c.log.lastIndex(), c.log.lastTerm()
+	}
+	c.send(resp)
 }
 
 // recordEcho records that this member's commit index was current at the echoed instant of this
@@ -148,6 +152,12 @@
 		return
 	}
 	p.paused = false
+	p.setBlocked(m.Reject, c.now)
+	if p.blocked && c.log.matches(m.Hint, m.HintTerm) {
+		// The member acknowledges nothing, but holds the entries up to the hint in memory.
+		p.becomeProbe()
+		p.next = max(p.next, m.Hint+1)
+	}
 	if p.state == progressReplicate && p.match < p.next-1 {
 		if term, ok := c.log.term(p.next - 1); ok {
 			c.send(Message{Type: MsgAppend, To: m.From, Index: p.next - 1, LogTerm: term, Commit: c.log.commit, Round: c.leaderState.round})
--- a/plugin/quorum/raft/lead.go
+++ b/plugin/quorum/raft/lead.go
@@ -199,7 +199,7 @@
 	var best replog.MemberID
 	for _, id := range c.log.config().VoterIDs() {
 		p := c.leaderState.progress[id]
-		if p == nil || !p.hasResponded || c.now-p.lastContact >= c.opts.ElectionTimeout {
+		if p == nil || p.blocked || !p.hasResponded || c.now-p.lastContact >= c.opts.ElectionTimeout {
 			continue
 		}
 		if best == 0 || p.match > c.leaderState.progress[best].match {
--- a/plugin/quorum/raft/membership.go
+++ b/plugin/quorum/raft/membership.go
@@ -9,7 +9,7 @@
 // Change is a membership change that the leader should propose.
 type Change struct {
 	Config replog.Config // the configuration after the change
-	Action string        // "add learner", "remove learner", "remove voter" or "promote learner"
+	Action string        // "add learner", "remove learner", "remove voter", "promote learner" or "demote voter"
 	Member replog.Member // the member to which Action applies
 }
 
--- a/plugin/quorum/raft/message.go
+++ b/plugin/quorum/raft/message.go
@@ -43,7 +43,8 @@
 	Index uint64
 	// LogTerm is the term of the entry at Index. Responses omit it.
 	LogTerm uint64
-	// Hint is the last index that may match, in the rejection of an append.
+	// Hint is the last index that may match, in the rejection of an append, or the last index that
+	// a member with a blocked disk holds, in its heartbeat response.
 	Hint uint64
 	// HintTerm is the term of the entry at Hint.
 	HintTerm uint64
@@ -54,7 +55,8 @@
 	// Snapshot is the snapshot of a MsgSnapshot. The core sends it without data, which the caller
 	// adds.
 	Snapshot *replog.Snapshot
-	// Reject is set in a response that refuses a vote, an append or a message of an earlier term.
+	// Reject is set in a response that refuses a vote, an append or a message of an earlier term,
+	// and in the heartbeat response of a member whose disk accepts no writes.
 	Reject bool
 	// Transfer is set in a vote request if the leader requested the election.
 	Transfer bool
--- a/plugin/quorum/raft/open.go
+++ b/plugin/quorum/raft/open.go
@@ -6,7 +6,8 @@
 // listed, and false if there is none. It returns one change at a time. Instances that ask to join
 // become learners. A learner that has caught up becomes a voter while the group has fewer voters than
 // its target; otherwise it replaces a silent voter: the voter is removed first, then the learner
-// is promoted.
+// is promoted. Voters are spread over the availability zones: a learner of a zone with few voters is
+// promoted in place of a voter of the zone with the most.
 //
 // A voter is removed only if a learner is ready to replace it, so a voter that is merely cut off
 // keeps its vote while there is no replacement. A learner with the name of a silent voter is the
@@ -20,13 +21,14 @@
 	if c, ok := addLearner(config, joins); ok {
 		return c, true
 	}
-	if ready, ok := findCaughtUpLearner(config, commit, progress); ok {
-		if len(config.VoterIDs()) < o.TargetVoters {
-			ready.Voter = true
-			return Change{config.With(ready), "promote learner", ready}, true
+	if len(config.VoterIDs()) > o.TargetVoters {
+		if c, ok := demoteVoter(config, o, progress); ok {
+			return c, true
 		}
-		if silent, ok := findReplaceableVoter(config, ready.Name, o.ReplaceVoterAfter, progress); ok {
-			return Change{config.Without(silent.ID), "remove voter", silent}, true
+	}
+	if ready := findCaughtUpLearners(config, commit, progress); len(ready) > 0 {
+		if c, ok := useLearner(config, o, ready, progress); ok {
+			return c, true
 		}
 	}
 	if silent, ok := findSilentLearner(config, o.RemoveLearnerAfter, progress); ok {
@@ -35,6 +37,83 @@
 	return Change{}, false
 }
 
+// useLearner returns the change that promotes one of the ready learners, or that makes room for it.
+func useLearner(config replog.Config, o OpenGroupOptions, ready []replog.Member, progress map[replog.MemberID]MemberProgress) (Change, bool) {
+	best := ready[0]
+	for _, m := range ready[1:] {
+		if o.votersInZone(config, m) < o.votersInZone(config, best) {
+			best = m
+		}
+	}
+	promote := best
+	promote.Voter = true
+	if len(config.VoterIDs()) < o.TargetVoters {
+		return Change{config.With(promote), "promote learner", promote}, true
+	}
+	for _, m := range ready {
+		if silent, ok := findReplaceableVoter(config, m.Name, o.ReplaceVoterAfter, progress); ok {
+			return Change{config.Without(silent.ID), "remove voter", silent}, true
+		}
+	}
+	if len(config.VoterIDs()) == o.TargetVoters && o.isCrowded(config, best, progress) {
+		return Change{config.With(promote), "promote learner", promote}, true
+	}
+	return Change{}, false
+}
+
+// isCrowded reports whether all voters are active and a zone has at least two voters more than that
+// of the learner, so that the learner should vote in place of one of them.
+func (o *OpenGroupOptions) isCrowded(config replog.Config, learner replog.Member, progress map[replog.MemberID]MemberProgress) bool {
+	most := 0
+	for _, m := range config.Members {
+		if !m.Voter {
+			continue
+		}
+		if p, tracked := progress[m.ID]; tracked && !p.Active {
+			return false
+		}
+		if o.Zones[m.Name] != "" {
+			most = max(most, o.votersInZone(config, m))
+		}
+	}
+	return o.Zones[learner.Name] != "" && most >= o.votersInZone(config, learner)+2
+}
+
+// votersInZone returns the number of voters in the availability zone of a member.
+func (o *OpenGroupOptions) votersInZone(config replog.Config, member replog.Member) int {
+	n := 0
+	for _, m := range config.Members {
+		if m.Voter && o.Zones[m.Name] == o.Zones[member.Name] {
+			n++
+		}
+	}
+	return n
+}
+
+// demoteVoter returns the change that takes the vote from a silent voter, else from one in the zone
+// with the most voters. The leader, which has no progress of its own, keeps its vote.
+func demoteVoter(config replog.Config, o OpenGroupOptions, progress map[replog.MemberID]MemberProgress) (Change, bool) {
+	var out replog.Member
+	for _, m := range config.Members {
+		p, tracked := progress[m.ID]
+		if !m.Voter || !tracked {
+			continue
+		}
+		if !p.Active {
+			out = m
+			break
+		}
+		if out.ID == 0 || o.votersInZone(config, m) > o.votersInZone(config, out) {
+			out = m
+		}
+	}
+	if out.ID == 0 {
+		return Change{}, false
+	}
+	out.Voter = false
+	return Change{config.With(out), "demote voter", out}, true
+}
+
 // OpenGroupOptions configures the membership of an open group, whose members are not listed.
 type OpenGroupOptions struct {
 	// TargetVoters is the number of voters up to which learners are promoted.
@@ -45,11 +124,15 @@
 	// RemoveLearnerAfter is the time without a message from a learner after which the learner
 	// is removed.
 	RemoveLearnerAfter Instant
+	// Zones holds the availability zones of the instances, by instance name. Members without a
+	// zone there are not moved.
+	Zones map[string]string
 }
 
 // MayNeedOpenGroupChange is a cheap check that reports whether NextOpenGroupChange could return a change.
-func MayNeedOpenGroupChange(config *replog.Config, joinCount int) bool {
-	return joinCount > 0 || len(config.VoterIDs()) < len(config.Members)
+func MayNeedOpenGroupChange(config *replog.Config, targetVoters, joinCount int) bool {
+	voters := len(config.VoterIDs())
+	return joinCount > 0 || voters < len(config.Members) || voters > targetVoters
 }
 
 // addLearner returns the change that adds the first instance in joins that is not yet a member. The
@@ -71,14 +154,15 @@
 	return Change{}, false
 }
 
-// findCaughtUpLearner returns an active learner that has all committed entries.
-func findCaughtUpLearner(config replog.Config, commit uint64, progress map[replog.MemberID]MemberProgress) (replog.Member, bool) {
+// findCaughtUpLearners returns the active learners that have all committed entries.
+func findCaughtUpLearners(config replog.Config, commit uint64, progress map[replog.MemberID]MemberProgress) []replog.Member {
+	var out []replog.Member
 	for _, m := range config.Members {
 		if p := progress[m.ID]; !m.Voter && p.Active && p.Match >= commit {
-			return m, true
+			out = append(out, m)
 		}
 	}
-	return replog.Member{}, false
+	return out
 }
 
 // findReplaceableVoter returns the silent voter that a learner of the given name may replace: the
--- a/plugin/quorum/raft/open_test.go
+++ b/plugin/quorum/raft/open_test.go
@@ -44,7 +44,7 @@
 		{"fewer voters than the target", replog.Config{Members: []replog.Member{voters[0], voters[1], learner(9, "d")}}, nil, map[replog.MemberID]MemberProgress{2: active, 9: active}, "promote learner", 9},
 		{"disk wiped twice", withMembers(learner(8, "c")), []replog.Member{learner(9, "c")}, map[replog.MemberID]MemberProgress{2: active, 3: silent(time.Second)}, "add learner", 9},
 	} {
-		c, ok := NextOpenGroupChange(tc.config, OpenGroupOptions{3, Instant(2 * time.Second), Instant(2 * time.Hour)}, tc.joins, 10, tc.progress)
+		c, ok := NextOpenGroupChange(tc.config, OpenGroupOptions{TargetVoters: 3, ReplaceVoterAfter: Instant(2 * time.Second), RemoveLearnerAfter: Instant(2 * time.Hour)}, tc.joins, 10, tc.progress)
 		if ok != (tc.what != "") || c.Action != tc.what || c.Member.ID != tc.member {
 			t.Errorf("%s: %q of member %v", tc.name, c.Action, c.Member.ID)
 		}
--- a/plugin/quorum/raft/progress.go
+++ b/plugin/quorum/raft/progress.go
@@ -63,6 +63,9 @@
 	lastContact Instant
 	// hasResponded is set after the first response from the member.
 	hasResponded bool
+	// blocked is set while the member reports that its disk accepts no writes, since blockedSince.
+	blocked      bool
+	blockedSince Instant
 	// ackedRound is the highest heartbeat round that the member has answered.
 	ackedRound uint64
 	// timestamp is a time on the member's clock, taken from one of its responses.
@@ -88,6 +91,13 @@
 	p.next = p.match + 1
 }
 
+func (p *progress) setBlocked(blocked bool, now Instant) {
+	if blocked && !p.blocked {
+		p.blockedSince = now
+	}
+	p.blocked = blocked
+}
+
 func (p *progress) becomeReplicate() {
 	p.state, p.paused, p.inflight, p.inflightBytes = progressReplicate, false, nil, 0
 	p.next = p.match + 1
@@ -123,10 +133,11 @@
 	// Match is the highest index up to which the member's log on disk is known to match the
 	// leader's.
 	Match uint64
-	// Active is set if the member has responded within the minimum election timeout.
+	// Active is set if the member has responded within the minimum election timeout and its disk
+	// accepts writes.
 	Active bool
 	// SilentFor is the time since the last message from the member, or since this leader began to
-	// track it.
+	// track it, or for which the member's disk has accepted no writes.
 	SilentFor Instant
 }
 
@@ -138,7 +149,11 @@
 	}
 	out := make(map[replog.MemberID]MemberProgress, len(c.leaderState.progress))
 	for id, p := range c.leaderState.progress {
-		out[id] = MemberProgress{Match: p.match, Active: p.hasResponded && c.now-p.lastContact < c.opts.ElectionTimeout, SilentFor: c.now - p.lastContact}
+		s := MemberProgress{Match: p.match, Active: !p.blocked && p.hasResponded && c.now-p.lastContact < c.opts.ElectionTimeout, SilentFor: c.now - p.lastContact}
+		if p.blocked {
+			s.SilentFor = max(s.SilentFor, c.now-p.blockedSince)
+		}
+		out[id] = s
 	}
 	return out
 }
--- a/plugin/quorum/raft/ready.go
+++ b/plugin/quorum/raft/ready.go
@@ -17,7 +17,7 @@
 	c.readStates, c.messages = nil, nil
 	if !c.saving {
 		if s := c.nextSave(); s != nil {
-			c.saving, rd.Save = true, s
+			c.saving, c.saveStartedAt, rd.Save = true, c.now, s
 		} else {
 			rd.Messages = append(rd.Messages, c.messagesAfterSave...)
 		}
@@ -38,8 +38,14 @@
 
 // ReportSaved records that s is on disk. The caller may then send s.Messages.
 func (c *Core) ReportSaved(s *Save) {
-	c.saving = false
+	c.saving, c.saveTime = false, c.now-c.saveStartedAt
+	requestsVotes := c.state == Candidate && c.savedHardState.Term != c.term && s.HardState.Term == c.term
 	c.savedHardState = s.HardState
+	if requestsVotes {
+		// The votes are requested now. Voters need about as long to save theirs.
+		c.resetElectionDeadline()
+		c.electionDeadline += c.saveTime
+	}
 	if s.Snapshot != nil && c.unsavedSnapshot == s.Snapshot {
 		c.unappliedSnapshot, c.unsavedSnapshot = c.unsavedSnapshot, nil
 	}
@@ -67,7 +73,15 @@
 	if c.unsavedSnapshot != nil {
 		return false
 	}
-	return c.unappliedSnapshot != nil || c.log.applied < min(c.log.commit, c.log.stable)
+	return c.unappliedSnapshot != nil || c.log.applied < c.applicable()
+}
+
+// applicable returns the index up to which entries may be applied.
+func (c *Core) applicable() uint64 {
+	if c.diskBlocked {
+		return c.log.commit
+	}
+	return min(c.log.commit, c.log.stable)
 }
 
 // NextApply returns a snapshot to restore, or committed and saved entries in log order whose sizes
@@ -80,7 +94,7 @@
 	if c.unappliedSnapshot != nil {
 		return c.unappliedSnapshot, nil
 	}
-	return nil, c.log.slice(c.log.applied+1, min(c.log.commit, c.log.stable), maxBytes)
+	return nil, c.log.slice(c.log.applied+1, c.applicable(), maxBytes)
 }
 
 // ReportApplied records that all entries up to index are applied.
@@ -103,6 +117,9 @@
 	c.log.compact(min(keepAbove, s.Index))
 }
 
+// StableIndex returns the index of the last saved entry.
+func (c *Core) StableIndex() uint64 { return c.log.stable }
+
 // SnapshotIndex returns the index of the newest snapshot.
 func (c *Core) SnapshotIndex() uint64 { return c.log.snapshot.Index }
 
--- a/plugin/quorum/setup.go
+++ b/plugin/quorum/setup.go
@@ -31,6 +31,10 @@
 	})
 }
 
+// maxToleratedLosses bounds ToleratedLosses: a fleet has at most 16 control instances, and so at most
+// 15 voters, since an even number tolerates no more losses than the odd one below it.
+const maxToleratedLosses = 7
+
 // Settings configures the plug-in.
 type Settings struct {
 	// Voters lists the names of the instances that vote. When the group is formed with
@@ -40,6 +44,10 @@
 	// listed: the seeds form the group, and instances that join replace voters that
 	// have failed. 0 means that the group is not open and voters lists its voters.
 	OpenVoters int `json:"open_voters"`
+	// ToleratedLosses is the number of instances of an open group that may lose their disks at the
+	// same time. The group then has at least 2*ToleratedLosses+1 voters, as soon as it has that many
+	// instances.
+	ToleratedLosses int `json:"tolerated_losses"`
 	// ReplaceAfter is the time without a message from a voter of an open group after
 	// which an instance that has joined replaces the voter.
 	ReplaceAfter settings.Duration `json:"replace_after"`
@@ -63,11 +71,18 @@
 	KeepEntries int `json:"keep_entries"`
 }
 
+// targetVoters returns the number of voters of an open group. An entry is committed once a majority
+// of them has it on disk, so that one copy is left after ToleratedLosses.
+func (s *Settings) targetVoters() int { return max(s.OpenVoters, 2*s.ToleratedLosses+1) }
+
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
 	if (len(s.Voters) == 0) != (s.OpenVoters > 0) || s.OpenVoters < 0 {
 		return settings.FieldErrorf("voters", "must name at least one instance if open_voters is 0, and none otherwise")
 	}
+	if s.ToleratedLosses < 0 || s.ToleratedLosses > maxToleratedLosses || s.ToleratedLosses > 0 && s.OpenVoters == 0 {
+		return settings.FieldErrorf("tolerated_losses", "must be within 0..%d, and 0 unless open_voters is set", maxToleratedLosses)
+	}
 	if s.ReplaceAfter.AsDuration() < s.ElectionTimeout.AsDuration() {
 		return settings.FieldErrorf("replace_after", "must be at least election_timeout")
 	}
--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -78,6 +78,8 @@
 	// openVoterCount is the number of voters of an open group. 0 means that the group is not
 	// open and voters holds the names of its voters.
 	openVoterCount int
+	// zones holds the availability zones of the instances of an open group, by name.
+	zones          map[string]string
 	nodes          []*simNode
 	network        []inFlightMessage
 	partition      map[string]int // partition of each instance; messages pass only within a partition
--- a/plugin/quorum/transport.go
+++ b/plugin/quorum/transport.go
@@ -31,6 +31,9 @@
 	}
 	q.submit(func(now raft.Instant) {
 		q.learnName(s.From, c.Peer)
+		if _, hasLink := q.links[c.Peer]; !hasLink {
+			q.afterUnlock(func() { q.peer.LearnByName(c.Peer, "") }) // responses need a link to the sender
+		}
 		for i := range s.Messages {
 			if m := fromWire(s.From, s.To, &s.Messages[i]); m.Type != raft.MsgSnapshot {
 				q.core.Step(now, m)
--- a/plugin/quorum/wire.go
+++ b/plugin/quorum/wire.go
@@ -111,10 +111,12 @@
 	AvailabilityZone string `json:"az,omitempty"`
 }
 
-// joinResponse is the leader's response to a joinRequest.
+// joinResponse is the response of the leader or, in an open group, of any member to a joinRequest.
 type joinResponse struct {
 	// Removed is true if the sender was a member and has been removed from the group.
 	Removed bool `json:"removed,omitzero"`
+	// Instances holds the names of the members of an open group.
+	Instances []string `json:"instances,omitempty"`
 }
 
 // bootstrapRequest asks, before a group is formed, whether the receiver knows of one.
