operator, test/harness: whole logs of failed tests, bounded lines of undecided changes

Change: the logs of a failed test are copied whole to CELERYYARD_FAILED_LOGS, which test.sh creates and prints; event 453 appears once a second for one change and one cause, with the number of suppressed lines.

--- a/plugin/operator/changes.go
+++ b/plugin/operator/changes.go
@@ -110,7 +110,9 @@
 	if err == nil {
 		return response{statusCode(out), out}
 	}
-	o.c.Log.Log(evUndecided).Str("operator", c.Operator).Str("change", c.ID).Err(err).Send()
+	if suppressed, ok := o.undecided.allow(c.ID, err.Error(), o.c.Clock.Now()); ok {
+		o.c.Log.Log(evUndecided).Str("operator", c.Operator).Str("change", c.ID).Int("suppressed", suppressed).Err(err).Send()
+	}
 	out = change.Outcome{ID: c.ID, State: change.StateUndecided, Text: "the answer is not known; send the same change again"}
 	if verdict.Of(err) == verdict.NotRun {
 		// The status says that this attempt was not executed. The state stays undecided, because an
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -41,7 +41,7 @@
 	maxConnections = 1024
 )
 
-// Operator is the plug-in. It owns no shared table; its fields are read-only after Start.
+// Operator is the plug-in. It owns no shared table; its fields but undecided are read-only after Start.
 type Operator struct {
 	c       *kernel.Context
 	s       *Settings
@@ -56,6 +56,8 @@
 	server    *http.Server
 	// limits maps the name of each organisation to its limits.
 	limits map[string]*organisationLimits
+	// undecided bounds the log lines of changes without a decision.
+	undecided repeats
 
 	requests, badTokens *metrics.Counter
 }
--- a/test.sh
+++ b/test.sh
@@ -7,6 +7,9 @@
 if [ -f KNOWN-RED.txt ]; then
   skip=$(sed -n 's/^test: *\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
 fi
+# Whole logs of the processes of failed tests, which print only the ends of them.
+export CELERYYARD_FAILED_LOGS="${CELERYYARD_FAILED_LOGS:-$(mktemp -d)}"
+trap 'if [ -n "$(ls -A "$CELERYYARD_FAILED_LOGS")" ]; then echo "logs of failed tests: $CELERYYARD_FAILED_LOGS"; fi' EXIT
 args=(-race -tags lockcheck -count=1 -timeout 8m)
 if [ -n "$skip" ]; then
   printf 'known red, run apart and not counted: %s\n' "$skip"
--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -57,12 +57,37 @@
 	t.Cleanup(func() {
 		p.Kill()
 		if t.Failed() {
-			t.Logf("log of %s:\n%s", name, p.LogTail())
+			t.Logf("log of %s, whole in %s:\n%s", name, p.keepLog(), p.LogTail())
 		}
 	})
 	return p
 }
 
+// failedLogsVariable names the environment variable with the folder for the logs of failed tests. The
+// default is a folder of the system's folder for temporary files.
+const failedLogsVariable = "CELERYYARD_FAILED_LOGS"
+
+// keepLog copies the whole log to a folder that outlives the test and returns the path of the copy.
+func (p *Process) keepLog() string {
+	root := os.Getenv(failedLogsVariable)
+	if root == "" {
+		root = filepath.Join(os.TempDir(), "celeryyard-failed-logs")
+	}
+	dir := filepath.Join(root, fmt.Sprintf("%s-%d", strings.ReplaceAll(p.t.Name(), "/", "-"), os.Getpid()))
+	b, err := os.ReadFile(p.logPath)
+	if err == nil {
+		err = os.MkdirAll(dir, 0o750)
+	}
+	path := filepath.Join(dir, p.Name+".log")
+	if err == nil {
+		err = os.WriteFile(path, b, 0o600)
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return path
+}
+
 // RewriteSettings atomically replaces the settings file with the given settings, encoded as JSON.
 func (p *Process) RewriteSettings(settings any) {
 	p.t.Helper()
