core/httpserve, platform/orders: pipelined requests overlap, uploads are accepted

Cause: the adapter knew the kinds safe and unsafe only, so the configurations of Oslo were refused as a whole.

Change: routes have large_body (at most once, large bodies). Callers are served by core/httpserve, a loop around http.ReadRequest: requests without a body start before the earlier ones of their connection are answered, at most 16 of them; responses are held for their order, up to 256 KiB each; in a planned stop the request whose response closes the connection is the last one that is passed on; what was sent behind it is not read.

--- /dev/null
+++ b/core/httpserve/conn.go
@@ -0,0 +1,316 @@
+package httpserve
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// conn is one connection. One goroutine reads requests; each request has a goroutine of its own that
+// runs the handler.
+type conn struct {
+	s   *Server
+	nc  net.Conn
+	lim *io.LimitedReader
+	br  *bufio.Reader
+	// ctx is cancelled when the client has closed the connection or the connection failed.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// mu guards the fields below. It is a leaf lock below all lock ranks.
+	mu sync.Mutex
+	// unanswered is the number of requests whose responses are not complete, and exclusive the number
+	// of those among them that must not overlap with others.
+	unanswered, exclusive int
+	// changed is signalled when unanswered falls or the connection ends.
+	changed *sync.Cond
+	// reading is set while the goroutine that reads requests waits for the first byte of one.
+	reading bool
+	// noMore is set once no further request will be passed to the handler.
+	noMore bool
+	// closed is set once the connection must not be used any more.
+	closed bool
+}
+
+// noLimit is the number of bytes that may be read outside of the heads of requests.
+const noLimit = 1 << 62
+
+func newConn(s *Server, nc net.Conn) *conn {
+	c := &conn{s: s, nc: nc, lim: &io.LimitedReader{R: nc, N: noLimit}}
+	c.br = bufio.NewReader(c.lim)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.changed = sync.NewCond(&c.mu)
+	return c
+}
+
+// serve reads requests until the connection ends, and then waits for their responses.
+func (c *conn) serve() {
+	defer c.s.remove(c)
+	defer c.cancel()
+	previous := closedTurn
+	var status int
+	for {
+		var r *response
+		if r, status = c.next(previous); r == nil {
+			break
+		}
+		previous = r.done
+		go r.run()
+		if !c.awaitBody(r) {
+			break
+		}
+	}
+	c.mu.Lock()
+	c.noMore = true
+	for c.unanswered > 0 {
+		c.changed.Wait()
+	}
+	abort := c.closed
+	c.mu.Unlock()
+	if status != 0 && !abort {
+		c.refuse(status)
+	}
+	c.finish(abort)
+}
+
+// finish closes the connection. Unless it is aborted, received bytes are discarded for lingerTime.
+func (c *conn) finish(abort bool) {
+	if tc, ok := c.nc.(*net.TCPConn); ok && !abort && tc.CloseWrite() == nil {
+		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c.nc)
+	}
+	_ = c.nc.Close()
+}
+
+// stopReading ends the wait for the first byte of a further request.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noMore = true
+	if c.reading {
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// next reads the next request and returns its response, or nil if the connection takes no further
+// one. status is that of the refusal of a malformed request; 0 if nothing is to be sent.
+func (c *conn) next(previous <-chan struct{}) (r *response, status int) {
+	if !c.awaitFirstByte() {
+		return nil, 0
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(c.s.ReadHeaderTimeout))
+	c.lim.N = int64(c.s.MaxHeaderBytes) + headSlackBytes
+	req, err := http.ReadRequest(c.br)
+	exhausted := c.lim.N <= 0
+	c.lim.N = noLimit
+	if err != nil {
+		if errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) {
+			c.cancel()
+		}
+		return nil, statusOf(err, exhausted)
+	}
+	if status := check(req); status != 0 {
+		return nil, status
+	}
+	_ = c.nc.SetReadDeadline(time.Time{})
+	r = newResponse(c, req, previous)
+	if !c.start(r) {
+		return nil, 0
+	}
+	return r, 0
+}
+
+// awaitFirstByte waits until a request arrives. Without unanswered requests it waits for at most the
+// idle timeout.
+func (c *conn) awaitFirstByte() bool {
+	c.mu.Lock()
+	for c.unanswered >= c.s.maxPipelined() && !c.closed {
+		c.changed.Wait()
+	}
+	if c.noMore || c.closed {
+		c.mu.Unlock()
+		return false
+	}
+	c.reading = true
+	c.setIdleDeadline()
+	c.mu.Unlock()
+	_, err := c.br.Peek(1)
+	c.mu.Lock()
+	c.reading = false
+	ended := c.noMore || c.closed
+	c.mu.Unlock()
+	if err != nil && !(ended && errors.Is(err, os.ErrDeadlineExceeded)) {
+		c.cancel() // the client is gone or idle
+	}
+	return err == nil && !ended
+}
+
+// setIdleDeadline sets the deadline for the first byte of the next request; mu is held.
+func (c *conn) setIdleDeadline() {
+	if !c.reading || c.noMore {
+		return
+	}
+	if c.unanswered > 0 {
+		_ = c.nc.SetReadDeadline(time.Time{})
+		return
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(c.s.idleTimeout()))
+}
+
+// start counts a request as unanswered. A request that may not overlap waits for the earlier ones, and
+// later ones wait for it: its response may turn out to close the connection, and they would then have
+// been started in vain. It returns false if the request must not be passed to the handler.
+func (c *conn) start(r *response) bool {
+	r.exclusive = r.body != nil || c.s.MayOverlap == nil || !c.s.MayOverlap(r.req)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.unanswered > 0 && (r.exclusive || c.exclusive > 0) && !c.noMore && !c.closed {
+		c.changed.Wait()
+	}
+	if c.noMore || c.closed {
+		return false
+	}
+	c.unanswered++
+	if r.exclusive {
+		c.exclusive++
+	}
+	if r.closeAfter || c.s.isClosing() {
+		r.closeAfter, c.noMore = true, true
+	}
+	return true
+}
+
+// awaitBody waits until the body of a request was read, because the next request follows it, and
+// reports whether one may be read.
+func (c *conn) awaitBody(r *response) bool {
+	if r.body == nil {
+		return true
+	}
+	select {
+	case <-r.body.done:
+		return true
+	case <-r.done:
+	}
+	select {
+	case <-r.body.done:
+		return true
+	default: // the handler did not read the body to its end
+		return r.body.discard()
+	}
+}
+
+// ended records that a response is complete or failed.
+func (c *conn) ended(r *response, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forget(r)
+	if r.closeAfter {
+		c.noMore = true
+	}
+	if !ok {
+		c.closed, c.noMore = true, true
+		c.cancel()
+		// Ends the reader and the writers of the other responses.
+		_ = c.nc.SetDeadline(time.Unix(1, 0))
+	} else if c.noMore && c.reading {
+		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.setIdleDeadline()
+	c.changed.Broadcast()
+}
+
+// forget removes a response from the unanswered ones; mu is held.
+func (c *conn) forget(r *response) {
+	c.unanswered--
+	if r.exclusive {
+		c.exclusive--
+	}
+}
+
+// isLast reports whether no request will be passed to the handler after r, so that its response tells
+// the client that the connection is closed.
+func (c *conn) isLast(r *response) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return r.closeAfter || c.noMore && c.unanswered == 1
+}
+
+// refuse answers a malformed request. The connection is closed after it.
+func (c *conn) refuse(status int) {
+	_ = c.nc.SetWriteDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(c.nc, "HTTP/1.1 "+statusLine(status)+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+statusLine(status)+"\n")
+}
+
+// statusOf returns the status of the refusal of a request whose head could not be read; 0 if the
+// client is not there to read it. exhausted means that the head is longer than the limit.
+func statusOf(err error, exhausted bool) int {
+	var ne net.Error
+	switch {
+	case exhausted:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
+		return 0
+	case strings.Contains(err.Error(), "unsupported transfer encoding"):
+		return http.StatusNotImplemented
+	}
+	return http.StatusBadRequest
+}
+
+// check returns the status of the refusal of a request that http.ReadRequest accepts and a server must
+// not; 0 for a valid one.
+func check(r *http.Request) int {
+	if r.ProtoMajor != 1 {
+		return http.StatusHTTPVersionNotSupported
+	}
+	if r.ProtoAtLeast(1, 1) && r.Host == "" && r.Method != http.MethodConnect || !httpguts.ValidHostHeader(r.Host) {
+		return http.StatusBadRequest
+	}
+	if e := r.Header.Get("Expect"); e != "" && r.ProtoAtLeast(1, 1) && !strings.EqualFold(e, "100-continue") {
+		return http.StatusExpectationFailed
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return http.StatusBadRequest
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return http.StatusBadRequest
+			}
+		}
+	}
+	return 0
+}
+
+// run calls the handler and completes the response.
+func (r *response) run() {
+	ok := false
+	defer func() {
+		if v := recover(); v != nil && v != http.ErrAbortHandler && r.c.s.OnPanic != nil {
+			r.c.s.OnPanic(v, debug.Stack())
+		}
+		r.cancel()
+		if !r.hijacked {
+			r.c.ended(r, ok)
+		}
+		close(r.done)
+	}()
+	r.c.s.Handler.ServeHTTP(r, r.req)
+	ok = r.complete()
+}
+
+// closedTurn is the turn of the first response of a connection.
+var closedTurn = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
--- /dev/null
+++ b/core/httpserve/server.go
@@ -0,0 +1,182 @@
+// Package httpserve serves HTTP/1.0 and HTTP/1.1 like a server of net/http, but starts pipelined
+// requests before the earlier ones on their connection have been answered. It parses requests with
+// http.ReadRequest, calls an http.Handler and sends the responses in the order of the requests. It
+// decides nothing about calls.
+//
+// Once a response closes the connection, requests that were sent behind its request are not passed
+// to the handler. RFC 9112, section 9.3.2, lets clients send them again.
+package httpserve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// defaultMaxPipelined is the default of Server.MaxPipelined.
+	defaultMaxPipelined = 16
+	// maxHeldBytes is the size in bytes of a response that may be held while earlier responses of the
+	// connection are not complete. A handler that writes more waits for them.
+	maxHeldBytes = 256 << 10
+	// headSlackBytes is the number of bytes that the head of a request may exceed MaxHeaderBytes by,
+	// as in net/http.
+	headSlackBytes = 4 << 10
+	// maxUnreadBody is the number of bytes of a body that are read and discarded after its request was
+	// answered, so that the connection can be used again.
+	maxUnreadBody = 256 << 10
+	// lingerTime is how long received bytes are discarded after the last response. Closing a
+	// connection with unread bytes resets it, and the client could lose the response.
+	lingerTime = 500 * time.Millisecond
+)
+
+// Server serves requests. Its fields must not be changed after Serve.
+type Server struct {
+	// Handler answers the requests. It may abort a connection by a panic with http.ErrAbortHandler.
+	Handler http.Handler
+	// ReadHeaderTimeout bounds the time to read the head of a request from its first byte on.
+	ReadHeaderTimeout time.Duration
+	// IdleTimeout is the time without a request after which a connection is closed; 0 means
+	// ReadHeaderTimeout.
+	IdleTimeout time.Duration
+	// MaxHeaderBytes bounds the head of a request.
+	MaxHeaderBytes int
+	// MaxPipelined is the number of unanswered requests of a connection at which no further one is
+	// read; 0 means defaultMaxPipelined.
+	MaxPipelined int
+	// MayOverlap reports whether a request may be started while earlier ones of its connection are
+	// unanswered. Requests with a body never are.
+	MayOverlap func(r *http.Request) bool
+	// IsClosing reports whether connections are to be closed with the next response; may be nil.
+	IsClosing func() bool
+	// OnPanic is called when the handler panics with anything but http.ErrAbortHandler; may be nil.
+	OnPanic func(v any, stack []byte)
+
+	// mu guards the fields below. It is a leaf lock below all lock ranks.
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*conn]struct{}
+	stopping bool
+	// idle is closed once the server is stopping and no connection is left.
+	idle chan struct{}
+}
+
+// Serve accepts connections until Shutdown is called, and then returns http.ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	s.listener = l
+	s.conns = map[*conn]struct{}{}
+	s.mu.Unlock()
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if s.isStopping() {
+				return http.ErrServerClosed
+			}
+			if isTemporary(err) {
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
+			return errors.Wrap(err, "accept")
+		}
+		c := newConn(s, nc)
+		if !s.add(c) {
+			_ = nc.Close()
+			return http.ErrServerClosed
+		}
+		go c.serve()
+	}
+}
+
+// acceptRetryDelay is the pause after an accept failed for lack of file descriptors or the like.
+const acceptRetryDelay = 10 * time.Millisecond
+
+func isTemporary(err error) bool {
+	var ne net.Error
+	//nolint:staticcheck // Temporary is deprecated for other uses; net/http uses it here too.
+	return errors.As(err, &ne) && ne.Temporary()
+}
+
+// Shutdown closes the listener and the idle connections, lets the requests in progress be answered,
+// and waits until all connections are closed or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	l := s.listener
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+		if len(s.conns) == 0 {
+			close(s.idle)
+		}
+	}
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	idle := s.idle
+	s.mu.Unlock()
+	var err error
+	if l != nil {
+		err = l.Close()
+	}
+	for _, c := range conns {
+		c.stopReading()
+	}
+	select {
+	case <-idle:
+		return err
+	case <-ctx.Done():
+		return errors.CombineErrors(err, ctx.Err())
+	}
+}
+
+func (s *Server) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// isClosing reports whether the next response of a connection is its last one.
+func (s *Server) isClosing() bool { return s.isStopping() || s.IsClosing != nil && s.IsClosing() }
+
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	if s.stopping && len(s.conns) == 0 && s.idle != nil {
+		close(s.idle)
+	}
+}
+
+func (s *Server) idleTimeout() time.Duration {
+	if s.IdleTimeout > 0 {
+		return s.IdleTimeout
+	}
+	return s.ReadHeaderTimeout
+}
+
+func (s *Server) maxPipelined() int {
+	if s.MaxPipelined > 0 {
+		return s.MaxPipelined
+	}
+	return defaultMaxPipelined
+}
--- a/core/resource/configuration.go
+++ b/core/resource/configuration.go
@@ -42,7 +42,9 @@
 	Host       string `json:"host"`
 	PathPrefix string `json:"path_prefix"`
 	// Idempotent allows requests to run more than once; otherwise they run at most once.
-	Idempotent    bool `json:"idempotent"`
+	Idempotent bool `json:"idempotent"`
+	// LargeBody means that requests have large bodies.
+	LargeBody     bool `json:"large_body,omitzero"`
 	TimeoutMillis int  `json:"timeout_ms"`
 	TargetMillis  int  `json:"target_ms"`
 	Priority      int  `json:"priority"`
@@ -190,7 +192,7 @@
 		Name: r.Key().Name, Organisation: ConfigurationTeam, Team: ConfigurationTeam,
 		Match:         Match{Host: strings.ToLower(r.Host), PathPrefix: r.PathPrefix},
 		TimeoutMillis: r.TimeoutMillis, TargetMillis: r.TargetMillis, Priority: r.Priority,
-		MaxAttempts: max(r.MaxAttempts, 1), Idempotent: r.Idempotent, AtMostOnce: !r.Idempotent,
+		MaxAttempts: max(r.MaxAttempts, 1), Idempotent: r.Idempotent, AtMostOnce: !r.Idempotent, LargeBody: r.LargeBody,
 	}
 	if r.Service != "" {
 		route.Cluster = clusterName(r.Service)
--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -61,6 +61,9 @@
 	// AtMostOnce forbids retries after a dispatch that may have been executed, for all
 	// methods including GET.
 	AtMostOnce bool `json:"at_most_once,omitzero"`
+	// LargeBody means that requests have large bodies. A body is sent to an endpoint only once the
+	// endpoint's node has accepted the request.
+	LargeBody bool `json:"large_body,omitzero"`
 	// Priority orders queued calls; 0 is the most urgent.
 	Priority int `json:"priority,omitzero"`
 	// TargetMillis is the target latency of calls; 0 means that no target is set.
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -110,9 +110,14 @@
 // IsStopping reports whether the program has begun to stop its plug-ins.
 func (c *Context) IsStopping() bool { return c.kernel.phase.Load() == phaseStopping }
 
+// Server is a server of HTTP. Its Serve returns http.ErrServerClosed after it was shut down.
+type Server interface {
+	Serve(l net.Listener) error
+}
+
 // Serve serves HTTP on l in a new goroutine until the server is shut down. If the
 // server ends for any other reason, the program ends.
-func (c *Context) Serve(s *http.Server, l net.Listener) {
+func (c *Context) Serve(s Server, l net.Listener) {
 	go func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			c.Fail(err)
--- a/plugin/catalog/state.go
+++ b/plugin/catalog/state.go
@@ -273,7 +273,7 @@
 	return x.Name == y.Name && x.Organisation == y.Organisation && x.Team == y.Team &&
 		x.Match.Host == y.Match.Host && x.Match.PathPrefix == y.Match.PathPrefix && x.Cluster == y.Cluster &&
 		x.TimeoutMillis == y.TimeoutMillis && x.MaxAttempts == y.MaxAttempts && x.Idempotent == y.Idempotent &&
-		x.AtMostOnce == y.AtMostOnce && x.Priority == y.Priority && x.TargetMillis == y.TargetMillis && slices.Equal(x.Split, y.Split)
+		x.AtMostOnce == y.AtMostOnce && x.LargeBody == y.LargeBody && x.Priority == y.Priority && x.TargetMillis == y.TargetMillis && slices.Equal(x.Split, y.Split)
 }
 
 func lessKey(a, b resource.Key) bool {
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -20,6 +20,7 @@
 	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/httphead"
+	"github.com/celeryyard/celeryyard/core/httpserve"
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/verdict"
@@ -61,7 +62,7 @@
 	routeStats routeStats
 	client     *httpcall.Client
 	pool       *pool.Pool
-	server     *http.Server
+	server     *httpserve.Server
 	// started is set once client is ready. Until then applySnapshot, which the view may call before
 	// Start, must not use client.
 	started      atomic.Bool
@@ -124,8 +125,11 @@
 		Workers: o.s.Workers, Queue: pool.NewKeyedFIFO(o.s.Queue),
 		OnPanic: func(v any, stack []byte) { o.c.Fail(errors.Newf("call panicked: %v\n%s", v, stack)) },
 	})
-	o.server = &http.Server{
+	o.server = &httpserve.Server{
 		Handler: o, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: o.s.CallerIdle.AsDuration(), MaxHeaderBytes: httphead.MaxBytes,
+		MayOverlap: func(r *http.Request) bool { return r.Method == http.MethodGet || r.Method == http.MethodHead },
+		IsClosing:  o.c.IsStopping,
+		OnPanic:    func(v any, stack []byte) { o.c.Fail(errors.Newf("call panicked: %v\n%s", v, stack)) },
 	}
 	o.c.RunEvery("outbound/idle", idleCheckInterval, func() { o.client.CloseIdle(func(string) bool { return false }) })
 	o.c.Log.Log(evListening).Str("address", l.Addr().String()).Send()
@@ -160,9 +164,6 @@
 
 // ServeHTTP handles one call. It implements http.Handler.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if o.c.IsStopping() {
-		w.Header().Set("Connection", "close")
-	}
 	info, err := o.dialect.ReadCall(r.Header)
 	c := &call{o: o, w: w, r: r, id: info.ID, startedAt: time.Now()}
 	if err != nil {
