httpcall, inbound, outbound, kernel: uploads wait for acceptance, late calls of a stop are refused

Cause: (1) On links of 3.5 Mbit/s more uploads arrive than the links of the eight portfolio endpoints carry (39 of 28 Mbit/s). Each was sent at once, so all shared the link, all were late, and configuration and short calls waited behind them. (2) In a planned stop the plug-ins stop one after the other; outbound took calls until the inbound one had ended, and cut those that were not done at the end.

Change: (1) The body of a call on a route with large_body is held back until the node of the endpoint has accepted the call (Expect: 100-continue between nodes). A node accepts bodies as far as its link (inbound/link_mbps) carries them in a fraction of the target latency, and rejects the others with proof; a connection that breaks before the body was asked for proves the same, so the call can be offered elsewhere. (2) A call that is not expected to end before the stop does is refused at once with proof. instance/stop_grace gives the time after which the platform kills; the stop uses 95 % of it, where 5.7 s were fixed before.

--- a/core/httpcall/answer.go
+++ b/core/httpcall/answer.go
@@ -84,6 +84,9 @@
 			return nil, errors.New("response switches protocols although no upgrade was requested")
 		}
 		if resp.StatusCode < 200 {
+			if resp.StatusCode == http.StatusContinue {
+				x.held.release()
+			}
 			continue
 		}
 		if !allowUnframed && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
--- a/core/httpcall/body.go
+++ b/core/httpcall/body.go
@@ -106,6 +106,9 @@
 // IsFullyKept reports whether the body is kept completely; it returns true for a nil Body.
 func (b *Body) IsFullyKept() bool { return b == nil || b.rest == nil }
 
+// IsLargerThan reports whether the body has more than n bytes or an unknown length.
+func (b *Body) IsLargerThan(n int64) bool { return b != nil && (b.length < 0 || b.length > n) }
+
 // Bytes returns the kept part of the body.
 func (b *Body) Bytes() []byte {
 	if b == nil {
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -44,6 +44,9 @@
 	// BufferBytes is above 0, an upstream may also end a body by closing the connection; nodes
 	// always send a length or chunks.
 	BufferBytes int
+	// AwaitAcceptance holds the body back until the other node has accepted the request; see
+	// AwaitsAcceptance. It has no effect without a body.
+	AwaitAcceptance bool
 	// MaxIdleTime is the idle time from which a connection is not reused for this request, in addition
 	// to the limits of the client and of the other side; 0 means no additional limit.
 	MaxIdleTime time.Duration
@@ -64,6 +67,7 @@
 	// context was cancelled before.
 	stopCancellation func() bool
 	writeDone        chan error // nil when the body was sent before the answer was read
+	held             *heldBody  // the body that waits for the request to be accepted; nil if none does
 	unblockBody      func()
 }
 
@@ -156,7 +160,12 @@
 	if r.Body != nil {
 		h.Body, h.ContentLength = r.Body.newReader(), r.Body.length
 	}
-	if r.Body.IsFullyKept() {
+	if r.AwaitAcceptance && r.Body != nil {
+		x.held = newHeldBody(x.conn.bw, h.Body)
+		h.Body = x.held
+		h.Header["Expect"] = expectContinue
+	}
+	if r.Body.IsFullyKept() && x.held == nil {
 		err := x.writeRequest(h)
 		x.countDispatch()
 		return err
@@ -164,7 +173,7 @@
 	x.writeDone = make(chan error, 1)
 	go func() {
 		err := x.writeRequest(h)
-		if r.Body.restErr != nil {
+		if r.Body.restErr != nil && x.held.isReleased() {
 			// There will be no answer to an incomplete request, so stop waiting for one.
 			_ = x.conn.SetReadDeadline(time.Unix(1, 0))
 		}
@@ -209,6 +218,12 @@
 	if x.writeDone == nil {
 		return
 	}
+	if x.held.abandon() {
+		_ = x.conn.SetDeadline(time.Unix(1, 0)) // the head may not be sent yet
+		<-x.writeDone                           // nothing of the body was read
+		x.writeDone = nil
+		return
+	}
 	_ = x.conn.SetDeadline(time.Unix(1, 0))
 	if x.unblockBody != nil {
 		x.unblockBody()
@@ -222,7 +237,7 @@
 // verdict is NotRun only if no byte was written.
 func (x *Exchange) classifyFailure(ctx context.Context, r *Request, err error) *Failure {
 	v := verdict.MayHaveRun
-	if x.conn.bytesWritten == 0 {
+	if x.conn.bytesWritten == 0 || x.held.isAbandoned() {
 		v = verdict.NotRun
 	}
 	switch {
--- a/core/httpserve/body.go
+++ b/core/httpserve/body.go
@@ -33,8 +33,6 @@
 	}
 }
 
-var errBodyClosed = errors.New("request body was closed")
-
 // Read implements io.Reader. The first call asks a client that waits for it to send the body.
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
--- a/core/httpserve/server.go
+++ b/core/httpserve/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,10 +101,9 @@
 // acceptRetryDelay is the pause after an accept failed for lack of file descriptors or the like.
 const acceptRetryDelay = 10 * time.Millisecond
 
+// isTemporary reports whether an error of accept does not concern the listener itself.
 func isTemporary(err error) bool {
-	var ne net.Error
-	//nolint:staticcheck // Temporary is deprecated for other uses; net/http uses it here too.
-	return errors.As(err, &ne) && ne.Temporary()
+	return errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR)
 }
 
 // Shutdown closes the listener and the idle connections, lets the requests in progress be answered,
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -42,6 +42,9 @@
 	// StopTimeout is the maximum duration of a graceful stop, including DrainTime. After it,
 	// the process exits without waiting for plug-ins and jobs that have not ended.
 	StopTimeout settings.Duration `json:"stop_timeout"`
+	// StopGrace is the time after which the platform kills a stopping process. If it is set, the
+	// process exits shortly before, and StopTimeout has no effect.
+	StopGrace settings.Duration `json:"stop_grace"`
 	// DrainTime is how long a stopping process continues to serve after it has announced
 	// that it is leaving; with 0 it stops at once.
 	DrainTime settings.Duration `json:"drain_time"`
@@ -53,6 +56,17 @@
 	Bootstrap bool `json:"bootstrap"`
 }
 
+// stopGraceFraction is the fraction of StopGrace that a stop may take. The rest is for the exit itself.
+const stopGraceFraction = 0.95
+
+// maxStopTime returns the maximum duration of a stop.
+func (i *Instance) maxStopTime() time.Duration {
+	if i.StopGrace > 0 {
+		return time.Duration(stopGraceFraction * float64(i.StopGrace))
+	}
+	return i.StopTimeout.AsDuration()
+}
+
 // DefaultInstance returns the default values of the section "instance".
 func DefaultInstance() Instance {
 	return Instance{
@@ -110,6 +124,15 @@
 // IsStopping reports whether the program has begun to stop its plug-ins.
 func (c *Context) IsStopping() bool { return c.kernel.phase.Load() == phaseStopping }
 
+// StopDeadline returns the time at which the planned stop ends, whatever is still in progress then,
+// and false before the stop.
+func (c *Context) StopDeadline() (time.Time, bool) {
+	if d := c.kernel.stopDeadline.Load(); d != nil {
+		return *d, true
+	}
+	return time.Time{}, false
+}
+
 // Server is a server of HTTP. Its Serve returns http.ErrServerClosed after it was shut down.
 type Server interface {
 	Serve(l net.Listener) error
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -63,6 +63,8 @@
 
 	// phase is the lifecycle phase of the kernel, such as phaseStarting.
 	phase atomic.Int32
+	// stopDeadline is when the stop ends at the latest; nil before the stop.
+	stopDeadline atomic.Pointer[time.Time]
 	// running is closed when all plug-ins have started. stopping is closed when the stop begins.
 	running, stopping chan struct{}
 	// reloadRequests holds at most one pending request to reload the settings.
@@ -254,10 +256,12 @@
 // of a plug-in during the stop ends the drain early, but not the stop itself; stop logs the
 // failure and returns it.
 func (k *Kernel) stop(planned bool) error {
+	deadline := time.Now().Add(k.instance.maxStopTime())
+	k.stopDeadline.Store(&deadline)
 	k.phase.Store(phaseStopping)
 	close(k.stopping)
 	k.log.Log(evStopping).Send()
-	ctx, cancel := context.WithTimeout(context.Background(), k.instance.StopTimeout.AsDuration())
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if planned {
 		k.drain()
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -96,12 +96,23 @@
 	}
 	defer c.in.endCall()
 	c.pool = p
+	counted, ok := c.in.beginTransfer(c)
+	if !ok {
+		c.reject(httpcall.ReasonWaitTooLong)
+		return
+	}
 	var err error
 	if c.body, err = httpcall.ReadBody(c.w, c.r, c.deadline); err != nil {
+		c.in.endTransfer(counted)
 		c.reject(httpcall.ReasonMalformed)
 		return
 	}
 	defer c.body.Release()
+	if c.body.IsFullyKept() {
+		c.in.endTransfer(counted)
+	} else {
+		defer c.in.endTransfer(counted)
+	}
 	if c.info.Keyed {
 		c.serveKeyed()
 		return
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -77,6 +77,8 @@
 	activeCalls int
 	// leaving is set by the planned stop, after which calls are rejected.
 	leaving bool
+	// transfers holds the large bodies that are being received.
+	transfers transfers
 	// onIdle completes the planned stop when no call is in flight; nil if no stop is in progress.
 	onIdle func()
 }
@@ -89,6 +91,7 @@
 		dispatches: c.Metrics.NewCounter(`celeryyard_dispatches_total{side="inbound"}`),
 		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="inbound"}`),
 	}
+	in.transfers.bytesPerSecond = in.s.LinkMbps * 1e6 / 8
 	in.dialect = dialect.Native{}
 	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
 		in.dialect = d
@@ -229,6 +232,32 @@
 	in.c.Log.Log(evSlots).Int("slots", slots).Send()
 }
 
+// beginTransfer decides whether the body of a call that waits to be accepted before it sends the body
+// is received. counted is to be passed to endTransfer. A body from this node itself does not use the
+// link.
+func (in *Inbound) beginTransfer(c *call) (counted int64, ok bool) {
+	if !httpcall.AwaitsAcceptance(c.r) || isSameHost(c.r.RemoteAddr, in.s.Listen) {
+		return 0, true
+	}
+	limit := transferLimit(c.info.TargetLatency, c.info.RemainingWait, time.Until(c.deadline))
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.transfers.begin(c.r.ContentLength, limit)
+}
+
+func (in *Inbound) endTransfer(counted int64) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.transfers.end(counted)
+}
+
+// isSameHost reports whether two addresses IP:port have the same IP.
+func isSameHost(a, b string) bool {
+	hostA, _, errA := net.SplitHostPort(a)
+	hostB, _, errB := net.SplitHostPort(b)
+	return errA == nil && errB == nil && hostA == hostB
+}
+
 // endCall ends the count of a call as in flight.
 func (in *Inbound) endCall() {
 	in.mu.Lock()
--- a/plugin/inbound/setup.go
+++ b/plugin/inbound/setup.go
@@ -36,6 +36,10 @@
 	Listen string `json:"listen"`
 	// QueuePerSlot bounds the queue of each organisation, in calls per slot of the upstream.
 	QueuePerSlot int `json:"queue_per_slot"`
+	// LinkMbps is the bandwidth of the link of this machine in megabits per second. It limits the
+	// request bodies of routes with large bodies that are received at the same time; 0 means that
+	// the bandwidth is unknown, and sets no limit.
+	LinkMbps float64 `json:"link_mbps"`
 	// NodeIdle is the time after which idle connections from other nodes are closed. It must
 	// be well above the client_idle of the other nodes, so that they don't reuse a connection that
 	// is being closed.
@@ -64,6 +68,8 @@
 	switch {
 	case s.QueuePerSlot < 1 || s.QueuePerSlot > 64:
 		return settings.FieldErrorf("queue_per_slot", "%d is outside 1..64", s.QueuePerSlot)
+	case s.LinkMbps < 0:
+		return settings.FieldErrorf("link_mbps", "must not be negative")
 	case s.NodeIdle.AsDuration() < 90*time.Second:
 		return settings.FieldErrorf("node_idle", "must be at least 90s, as other nodes use connections for up to 1m")
 	case s.UpstreamIdle <= 0:
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -149,7 +149,7 @@
 	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
-		Call: &c.info, Body: c.body, Deadline: c.deadline, UnblockBody: c.unblockBody, BufferBytes: c.o.s.BufferBytes,
+		Call: &c.info, Body: c.body, AwaitAcceptance: c.route.LargeBody && c.body.IsLargerThan(minHeldBytes), Deadline: c.deadline, UnblockBody: c.unblockBody, BufferBytes: c.o.s.BufferBytes,
 		IgnoreBody: isFailureReport,
 	})
 	if f == nil {
@@ -187,6 +187,10 @@
 	return assumedHeaderBytes + max(r.ContentLength, 0) + int64(len(c.body.Bytes()))
 }
 
+// minHeldBytes is the length of a body above which the body is held back until the endpoint's node has
+// accepted the call. Sending a shorter one costs less than the round trip.
+const minHeldBytes = 8 << 10
+
 func (c *call) recordOutcome(e *endpoint, node string, o Outcome) {
 	if c.o.table.recordOutcome(c.cluster.Service, e, o, c.cluster.EjectAfter, time.Now()) {
 		c.o.c.Log.Log(evEjected).Str("endpoint", node).Str("service", c.cluster.Service).Send()
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -184,6 +184,10 @@
 		c.respondError(http.StatusNotFound, verdict.NotRun, "no route matches the request")
 		return
 	}
+	if deadline, stopping := o.c.StopDeadline(); stopping && !canEndBefore(c.startedAt, deadline, c.route, o.routeStats.meanDuration(c.route.Name)) {
+		c.respondError(http.StatusServiceUnavailable, verdict.NotRun, "this node stops before the call could end")
+		return
+	}
 	c.cluster, c.metrics = snapshot.Clusters[o.table.chooseCluster(c.route)], o.metricsOf(c.route.Organisation)
 	if err := c.prepare(info.Timeout); err != nil {
 		w.Header().Set("Connection", "close")
