discovery: one odd endpoint record does not stop the others

Cause: a record list was decoded as a whole. One record with a field of another type, a number too large, a duplicate or an unknown field refused the message; the sender closed the connection and sent all records again, forever, so the reader followed nothing of that sender. A port out of range or a negative number of slots was stored and passed on.

Change: records are decoded one by one when the whole fails; those that no endpoint can have (resource.Endpoint.Check) are left out and logged once a sender (event 556). Announcements of nodes are checked in the same way.

Measured: TestOddRecordIsSkippedAndTheOthersAreKept, twelve odd records in each of three positions of both lists; with decoding and check as before it fails for all twelve.

--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -221,8 +221,7 @@
 // decodeRecords decodes a message and checks that its sender is a known control instance.
 // Otherwise it replies with an error and returns false.
 func (d *Discovery) decodeRecords(c *rpc.Conn, r *rpc.Request) (*peerapi.Records, bool) {
-	m := &peerapi.Records{}
-	err := r.Decode(m)
+	m, skipped, err := decodeRecords(r.Params)
 	if err == nil && m.Instance == c.Peer {
 		d.peer.LearnByName(m.Instance, m.AvailabilityZone)
 	}
@@ -234,9 +233,29 @@
 		r.ReplyError(rpc.CodeInvalidParams, err)
 		return nil, false
 	}
+	d.logSkipped(c.Peer, skipped)
 	return m, true
 }
 
+// logSkipped logs that records of a sender were left out, once until a message of the sender has no
+// such record: the sender repeats them with each sync.
+func (d *Discovery) logSkipped(sender string, s skippedRecords) {
+	d.mu.Lock()
+	logged := d.skippedFrom[sender]
+	if s.count == 0 {
+		delete(d.skippedFrom, sender)
+	} else if len(d.skippedFrom) < maxSkippedSenders {
+		d.skippedFrom[sender] = true
+	}
+	d.mu.Unlock()
+	if s.count > 0 && !logged {
+		d.c.Log.Log(evSkipped).Str("sender", sender).Int("records", s.count).Err(s.cause).Send()
+	}
+}
+
+// maxSkippedSenders bounds the senders whose skipped records are remembered as logged.
+const maxSkippedSenders = 64
+
 // AwaitPropagation calls done once the watchers have been notified of all announcements made before
 // the call and every connected instance has confirmed these announcements, or after SpreadTimeout.
 func (d *Discovery) AwaitPropagation(done func()) {
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -28,6 +28,7 @@
 	evResync        = event.Declare(552, zerolog.InfoLevel, "endpoint messages are missing; all records requested")
 	evInvalid       = event.Declare(553, zerolog.WarnLevel, "endpoint message refused")
 	evSettled       = event.Declare(554, zerolog.InfoLevel, "wait for the endpoint records of the other instances has ended")
+	evSkipped       = event.Declare(556, zerolog.WarnLevel, "endpoint records left out: no endpoint can have them")
 	evSpreadTimeout = event.Declare(555, zerolog.WarnLevel, "other instances did not confirm an endpoint change in time")
 )
 
@@ -61,6 +62,8 @@
 	// settled is set once the table is complete or SettleTimeout has passed.
 	settled   bool
 	lastSweep time.Time
+	// skippedFrom holds the senders whose invalid records were logged.
+	skippedFrom map[string]bool
 
 	announcements *metrics.Counter
 	lostLeases    *metrics.Counter
@@ -72,7 +75,7 @@
 func newDiscovery(c *kernel.Context) *Discovery {
 	d := &Discovery{
 		c: c, s: c.Settings.(*Settings), peer: kernel.MustFind[*peer.Peer](c, "peer"), trace: trace.Find(c),
-		started: c.Clock.Now(), mu: rank.NewMutex(rank.Discovery), remotes: map[string]*remote{},
+		started: c.Clock.Now(), mu: rank.NewMutex(rank.Discovery), remotes: map[string]*remote{}, skippedFrom: map[string]bool{},
 		ownVersion: func() resource.Version { return 0 }, onPeerVersion: func(resource.Version) {},
 		announcements: c.Metrics.NewCounter("celeryyard_discovery_announcements_total"),
 		lostLeases:    c.Metrics.NewCounter("celeryyard_discovery_lost_leases_total"),
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -215,6 +215,8 @@
 		err = errors.Newf("process %q has no session", c.Peer)
 	case a.Endpoint.Node != e.node || a.Endpoint.Service == "":
 		err = errors.Newf("node %q announced an endpoint of node %q, service %q", e.node, a.Endpoint.Node, a.Endpoint.Service)
+	default:
+		err = a.Endpoint.Check()
 	}
 	if err != nil {
 		d.refuseMessage(c, r, err)
