core/httpserve: the last request of a connection is cancelled with its client

Cause: once no further request is read from a connection (its request asks for the close, or the server stops) nobody read from it, so a client that left was noticed with the response only, and the endpoint worked on.

Change: the reader goes on waiting for the end of the connection until the last response is complete.

Measured: TestLastRequestIsCancelledWithItsClient fails before ("close requested: the handler runs on"), passes after, with -race.

--- a/core/httpserve/conn.go
+++ b/core/httpserve/conn.go
@@ -34,8 +34,9 @@
 	unanswered, exclusive int
 	// changed is signalled when unanswered falls or the connection ends.
 	changed *sync.Cond
-	// reading is set while the goroutine that reads requests waits for the first byte of one.
-	reading bool
+	// reading is set while the goroutine that reads requests waits for the first byte of one, and
+	// watching while it waits for the client to leave because no further request is read.
+	reading, watching bool
 	// noMore is set once no further request will be passed to the handler.
 	noMore bool
 	// closed is set once the connection must not be used any more.
@@ -70,8 +71,8 @@
 			break
 		}
 	}
+	c.watch()
 	c.mu.Lock()
-	c.noMore = true
 	for c.unanswered > 0 {
 		c.changed.Wait()
 	}
@@ -83,6 +84,30 @@
 	c.finish(abort)
 }
 
+// watch waits until the last responses are complete, and cancels their requests when the client closes
+// the connection before. It cannot notice that behind bytes that are not read any more.
+func (c *conn) watch() {
+	for {
+		c.mu.Lock()
+		c.noMore = true
+		c.watching = c.unanswered > 0 && !c.closed
+		if !c.watching {
+			c.mu.Unlock()
+			return
+		}
+		_ = c.nc.SetReadDeadline(time.Time{})
+		c.mu.Unlock()
+		_, err := c.br.Peek(c.br.Buffered() + 1)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // a response is complete
+		}
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			c.cancel()
+		}
+		return
+	}
+}
+
 // finish closes the connection. Unless it is aborted, received bytes are discarded for lingerTime.
 func (c *conn) finish(abort bool) {
 	if tc, ok := c.nc.(*net.TCPConn); ok && !abort && tc.CloseWrite() == nil {
@@ -222,7 +247,7 @@
 		c.cancel()
 		// Ends the reader and the writers of the other responses.
 		_ = c.nc.SetDeadline(time.Unix(1, 0))
-	} else if c.noMore && c.reading {
+	} else if c.noMore && (c.reading || c.watching) {
 		_ = c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
 	c.setIdleDeadline()
--- a/core/httpserve/httpserve_test.go
+++ b/core/httpserve/httpserve_test.go
@@ -195,6 +195,43 @@
 	}
 }
 
+// Guards against a handler that keeps running for a client that is gone, because the connection takes
+// no further request and is not read any more: its request asks for the close, or the server stops.
+func TestLastRequestIsCancelledWithItsClient(t *testing.T) {
+	for _, tc := range []struct {
+		name, request string
+		closing       bool
+	}{
+		{"close requested", "GET /wait HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", false},
+		{"upload", "POST /wait HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc", false},
+		{"stopping", get("/short") + get("/wait"), true},
+	} {
+		var closing atomic.Bool
+		cancelled := make(chan struct{})
+		address := startServer(t, &Server{IsClosing: closing.Load, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/short" {
+				closing.Store(tc.closing)
+				time.Sleep(30 * time.Millisecond)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			close(cancelled)
+		})})
+		c, _ := dial(t, address)
+		if _, err := io.WriteString(c, tc.request); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(60 * time.Millisecond)
+		_ = c.Close()
+		select {
+		case <-cancelled:
+		case <-time.After(3 * time.Second):
+			t.Fatalf("%s: the handler runs on", tc.name)
+		}
+	}
+}
+
 // Guards against an aborted response that looks complete, and against a later response that follows it.
 func TestAbortedResponseEndsTheConnection(t *testing.T) {
 	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
