core/httpserve: a write deadline holds for pipelined responses

Cause: a deadline that a handler set before the turn of its response had no effect, so a client that did not read held the handler, and the worker that runs it, for as long as it liked. Found in reading.

Change: the deadline is kept and set with the first write of the response.

Measured: TestWriteDeadlineHoldsForPipelinedResponses fails before ("the handler is held by a client that does not read"), passes after, with -race.

--- a/core/httpserve/httpserve_test.go
+++ b/core/httpserve/httpserve_test.go
@@ -232,6 +232,39 @@
 	}
 }
 
+// Guards against a handler that is held beyond its deadline by a client that does not read, also when
+// the deadline was set before the turn of its response.
+func TestWriteDeadlineHoldsForPipelinedResponses(t *testing.T) {
+	failed := make(chan time.Duration, 1)
+	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/short" {
+			time.Sleep(30 * time.Millisecond)
+			return
+		}
+		begin := time.Now()
+		_ = http.NewResponseController(w).SetWriteDeadline(begin.Add(300 * time.Millisecond))
+		chunk := make([]byte, 64<<10)
+		for range 1000 {
+			if _, err := w.Write(chunk); err != nil {
+				failed <- time.Since(begin)
+				panic(http.ErrAbortHandler)
+			}
+		}
+	})})
+	c, _ := dial(t, address)
+	if _, err := io.WriteString(c, get("/short")+get("/long")); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case d := <-failed:
+		if d > 2*time.Second {
+			t.Fatalf("the write failed after %v", d)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the handler is held by a client that does not read")
+	}
+}
+
 // Guards against an aborted response that looks complete, and against a later response that follows it.
 func TestAbortedResponseEndsTheConnection(t *testing.T) {
 	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/core/httpserve/response.go
+++ b/core/httpserve/response.go
@@ -26,8 +26,9 @@
 	done chan struct{}
 	// exclusive means that no other request of the connection is in progress at the same time.
 	exclusive bool
-	// writeDeadline is set once the handler has set a deadline for writes.
-	writeDeadline bool
+	// writeDeadline is the deadline for writes that the handler has set; zero if it set none. It
+	// applies from the turn of the response on.
+	writeDeadline time.Time
 	// closeAfter means that the connection is closed after this response.
 	closeAfter bool
 
@@ -208,6 +209,11 @@
 	if len(r.out) == 0 {
 		return nil
 	}
+	if !r.writeDeadline.IsZero() {
+		if err := r.c.nc.SetWriteDeadline(r.writeDeadline); err != nil {
+			return err
+		}
+	}
 	_, err := r.c.nc.Write(r.out)
 	r.out = r.out[:0]
 	return err
@@ -231,7 +237,7 @@
 	}
 	short := r.length >= 0 && r.written < r.length && r.req.Method != http.MethodHead && bodyAllowed(r.status)
 	err := r.send()
-	if r.writeDeadline {
+	if !r.writeDeadline.IsZero() {
 		_ = r.c.nc.SetWriteDeadline(time.Time{})
 	}
 	if cap(r.out) <= maxPooledBytes {
@@ -253,13 +259,11 @@
 	return r.send()
 }
 
-// SetWriteDeadline implements the method of http.ResponseController.
+// SetWriteDeadline implements the method of http.ResponseController. Until the turn of the response
+// another one is being written, so the deadline is set with the first write after that.
 func (r *response) SetWriteDeadline(t time.Time) error {
-	if !r.isTurn() {
-		return nil // another response is being written
-	}
-	r.writeDeadline = true
-	return r.c.nc.SetWriteDeadline(t)
+	r.writeDeadline = t
+	return nil
 }
 
 // SetReadDeadline implements the method of http.ResponseController. It bounds reads of the request
