core/httpserve: an aborted response does not cut the ones before it

Cause: the abort of a pipelined response ended the connection at once, also when responses to earlier requests were not sent yet. TestAbortedResponseEndsTheConnection failed once ("unexpected EOF" for the first of three responses), beside load.

Change: the abort waits for the turn of its response. The test now makes the other responses slow, so that it always meets the case.

Measured: the test fails before, passes 20 of 20 times after, with -race.

--- a/core/httpserve/conn.go
+++ b/core/httpserve/conn.go
@@ -324,6 +324,13 @@
 			r.c.s.OnPanic(v, debug.Stack())
 		}
 		r.cancel()
+		if !ok {
+			// Aborting the connection earlier would cut the responses before this one.
+			select {
+			case <-r.turn:
+			case <-r.c.ctx.Done():
+			}
+		}
 		if !r.hijacked {
 			r.c.ended(r, ok)
 		}
--- a/core/httpserve/httpserve_test.go
+++ b/core/httpserve/httpserve_test.go
@@ -265,10 +265,12 @@
 	}
 }
 
-// Guards against an aborted response that looks complete, and against a later response that follows it.
+// Guards against an aborted response that looks complete, against a later response that follows it, and
+// against one that cuts the responses before it, which take longer.
 func TestAbortedResponseEndsTheConnection(t *testing.T) {
 	address := startServer(t, &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/cut" {
+			time.Sleep(20 * time.Millisecond)
 			fmt.Fprint(w, "whole")
 			return
 		}
