quorum: a postponed write does not lose a later save of the core

Cause: a write that a full disk postpones put its own save back, also when it had none. A save that the core had returned meanwhile was then dropped, and the core waited for it for good: the instance took no further part.

Change: the later save is kept.

Measured: TestPostponedWriteKeepsALaterSave fails before, passes after.

--- a/plugin/quorum/disk.go
+++ b/plugin/quorum/disk.go
@@ -141,7 +141,9 @@
 // the log in memory. A leader passes its leadership on.
 func (q *Quorum) postponeWrite(work *diskQueue, err error) {
 	q.disk.running, q.disk.retryAt = false, q.now()+diskRetryInterval
-	q.disk.save = work.save // the core returns no other Save until this one is reported
+	if work.save != nil {
+		q.disk.save = work.save // the core returns no other Save until this one is reported
+	}
 	q.disk.releaseRequests = append(work.releaseRequests, q.disk.releaseRequests...)
 	if q.disk.stopped && q.disk.idle != nil {
 		close(q.disk.idle)
--- a/plugin/quorum/disk_test.go
+++ b/plugin/quorum/disk_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// Guards against a save of the core that is lost because the write that a full disk has postponed had
+// none: the core would wait for it forever.
+func TestPostponedWriteKeepsALaterSave(t *testing.T) {
+	for _, postponed := range []*raft.Save{nil, {HardState: replog.HardState{Term: 3}}} {
+		n := newSim(1, 3).nodes[0]
+		q := &Quorum{c: &kernel.Context{Clock: clock.System{}}, core: n.core, startTime: time.Now()}
+		later := &raft.Save{HardState: replog.HardState{Term: 4}}
+		if postponed == nil {
+			q.disk.save = later // returned by the core while the write was in progress
+		}
+		q.postponeWrite(&diskQueue{save: postponed, releaseRequests: []releaseRequest{{version: 7}}}, journal.ErrNoSpace)
+		want := postponed
+		if want == nil {
+			want = later
+		}
+		if q.disk.save != want || len(q.disk.releaseRequests) != 1 || !q.disk.full {
+			t.Fatalf("save %+v after a postponed write, want %+v", q.disk.save, want)
+		}
+	}
+}
+
 // Guards against a busy loop of attempts while the leader is known but not connected.
 func TestProposalWaitsBeforeTheNextAttempt(t *testing.T) {
 	s := newSim(1, 3)
