--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -22,9 +22,11 @@
 
 // answer is what a client got for one request.
 type answer struct {
-	id   string
-	sent time.Time // when the last byte of the request was sent
-	end  time.Time
+	id string
+	// limit is the deadline of the client or the timeout of the route, whichever ends first.
+	limit time.Duration
+	sent  time.Time // when the last byte of the request was sent
+	end   time.Time
 	// status is 0 if the connection ended without a complete answer; err then tells why.
 	status  int
 	stamped bool // the answer bears the endpoint's signature
@@ -58,7 +60,7 @@
 
 // do sends one request on the client's connection and waits for its answer until the deadline.
 func (c *client) do(method, path, id string, deadline time.Duration) answer {
-	a := answer{id: id}
+	a := answer{id: id, limit: deadline}
 	rec := c.m.p.record
 	begin := time.Now()
 	if a.err = c.connect(); a.err != nil {
--- a/review/standin/late_in_grace.go
+++ b/review/standin/late_in_grace.go
@@ -86,7 +86,9 @@
 	history := func(c *client, work time.Duration) answer {
 		id := newID()
 		works.set(id, work)
-		return c.do("GET", "/history/1", id, historyDeadline)
+		a := c.do("GET", "/history/1", id, historyDeadline)
+		a.limit = historyTimeout
+		return a
 	}
 	x := p.nodes[0]
 	var orderClients, historyClients, others []*client
@@ -158,11 +160,13 @@
 	}
 	wg.Wait()
 	<-stopped
+	time.Sleep(500 * time.Millisecond) // the endpoints notice closed connections
 	return checkLate(rec, endpoints, late, term)
 }
 
 // checkLate checks the requests that were sent later than 3 s after the SIGTERM: one that an endpoint
-// began to work on must get that endpoint's answer, unless the endpoint broke off.
+// began to work on must get that endpoint's answer, unless the endpoint broke off or the request's
+// time was over.
 func checkLate(rec *record, endpoints []*endpoint, late []answer, term time.Time) error {
 	broken := 0
 	for _, a := range late {
@@ -175,7 +179,7 @@
 				continue
 			}
 			switch {
-			case a.err == nil && a.stamped:
+			case a.err == nil && a.stamped, a.end.Sub(a.sent) >= a.limit:
 			case r.outcome == "answered" || r.outcome == "cut":
 				broken++
 				rec.add("check", "LOST: %s was sent %.3f s after the SIGTERM, %s began to work on it, and after %.3f s its client got no answer of the endpoint (status %d, error %v)",
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -22,11 +24,18 @@
 // caseLimit ends a case that takes too long.
 const caseLimit = 110 * time.Second
 
-// active is the platform of the case, whose processes are ended if the case takes too long.
+// active is the platform of the case, whose processes are ended if the case takes too long or is
+// stopped.
 var active atomic.Pointer[platform]
 
 func setActive(p *platform) { active.Store(p) }
 
+func closeActive() {
+	if p := active.Load(); p != nil {
+		p.close()
+	}
+}
+
 var cases = map[string]func(rec *record, trouble bool) error{
 	"late-in-grace":  lateInGrace,
 	"late-beat":      lateBeat,
@@ -44,6 +53,8 @@
 		os.Exit(exitFailed)
 	}
 	rec := newRecord()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
 	done := make(chan error, 1)
 	go func() { done <- play(rec, os.Getenv("TROUBLE") != "0") }()
 	var err error
@@ -51,9 +62,10 @@
 	case err = <-done:
 	case <-time.After(caseLimit):
 		err = errors.New("the case took too long")
-		if p := active.Load(); p != nil {
-			p.close()
-		}
+		closeActive()
+	case <-stop:
+		err = errors.New("the case was stopped")
+		closeActive()
 	}
 	code := exitHeld
 	switch {
