--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 // client is a client on a node's machine with one connection, which it keeps open.
@@ -17,7 +18,7 @@
 	m    *machine
 	name string
 	conn net.Conn
-	br   *bufio.Reader
+	br   *httphead.Reader
 }
 
 // answer is what a client got for one request.
@@ -47,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	c.conn, c.br = nc, bufio.NewReader(nc)
+	c.conn, c.br = nc, httphead.NewReader(nc, httphead.ExternalLimits)
 	return nil
 }
 
@@ -91,7 +92,7 @@
 }
 
 func (a *answer) read(c *client) {
-	resp, err := http.ReadResponse(c.br, &http.Request{Method: http.MethodGet})
+	resp, err := c.br.ReadResponse(&http.Request{Method: http.MethodGet})
 	if err != nil {
 		a.err = err
 		return
--- a/review/standin/cut_answer.go
+++ b/review/standin/cut_answer.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 const (
@@ -155,7 +157,7 @@
 			_, _ = c.Write(make([]byte, uploadBytes))
 		}
 	}()
-	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: http.MethodPut})
+	resp, err := httphead.NewReader(c, httphead.ExternalLimits).ReadResponse(&http.Request{Method: http.MethodPut})
 	if err != nil {
 		return 0, "", nil, err
 	}
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 // run is one request that an endpoint began to work on.
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.server = &http.Server{Handler: e, IdleTimeout: 10 * time.Second}
+	e.server = &http.Server{Handler: e, IdleTimeout: 10 * time.Second, MaxHeaderBytes: httphead.MaxBytes}
 	go func() { _ = e.server.Serve(l) }()
 	return e, nil
 }
@@ -167,7 +169,7 @@
 	if body != "" {
 		r.Header.Set("Content-Type", "application/json")
 	}
-	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httphead.MaxBytes}}
 	resp, err := c.Do(r)
 	if err != nil {
 		return false
