session, distribution: log what tells a late node from a late instance

Change: events 509 (version released), 510 (isolation changed, with its age), 606 (no preferable instance found) and 607 (configuration in force, from whom). One line for each version and process; none for each call or ping.

--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,14 +65,17 @@
 // together, all nodes would otherwise move to another instance before the first election ends.
 func (d *Distribution) isIsolated(now time.Time) bool {
 	status := d.log.Status()
-	if status.WritePending > d.s.IsolatedAfter.AsDuration() {
-		return true
-	}
 	since := status.Confirmed
 	if since.Before(d.startedAt) {
 		since = d.startedAt
 	}
-	return now.Sub(since) > d.s.IsolatedAfter.AsDuration()
+	age := now.Sub(since)
+	isolated := max(age, status.WritePending) > d.s.IsolatedAfter.AsDuration()
+	if d.loggedIsolated.Swap(isolated) != isolated {
+		d.c.Log.Log(evIsolated).Str("isolated", strconv.FormatBool(isolated)).Int("confirmed_age_ms", int(age.Milliseconds())).
+			Int("write_pending_ms", int(status.WritePending.Milliseconds())).Str("leader", status.Leader).Send()
+	}
+	return isolated
 }
 
 // attach adds a session to the table and reports whether the caller must start a linearizable
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -33,6 +33,8 @@
 	evMessageRefused = event.Declare(506, zerolog.WarnLevel, "message from a node refused")
 	evUnacked        = event.Declare(507, zerolog.WarnLevel, "node did not acknowledge an update in time; its session is closed")
 	evSendError      = event.Declare(508, zerolog.WarnLevel, "failed to queue an update; the session is closed")
+	evReleased       = event.Declare(509, zerolog.InfoLevel, "version released to nodes")
+	evIsolated       = event.Declare(510, zerolog.InfoLevel, "isolation from the quorum changed")
 )
 
 // Discovery is the interface of the plug-in "discovery" that distribution uses.
@@ -88,6 +90,8 @@
 	trace         *trace.Trace
 	resumeLimiter *rate.Limiter
 	startedAt     time.Time
+	// loggedIsolated is the state of the last event 510.
+	loggedIsolated atomic.Bool
 
 	// mu guards the fields below up to syncingVersion. It is not held during calls into the
 	// catalog, the log or discovery, whose locks have lower ranks.
@@ -199,6 +203,7 @@
 		}
 		d.mu.Lock()
 		d.releasedVersion = max(d.releasedVersion, v)
+		nodes := len(d.sessions)
 		for key, delta := range d.deltas {
 			if delta.To < d.releasedVersion {
 				delete(d.deltas, key)
@@ -206,6 +211,7 @@
 		}
 		clear(d.encodedUpdates)
 		d.mu.Unlock()
+		d.c.Log.Log(evReleased).Uint("version", uint64(v)).Int("nodes", nodes).Send()
 		d.schedulePush()
 	})
 }
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -167,8 +167,19 @@
 	if exhausted && s.candidate == link {
 		s.candidate = nil
 	}
+	reason, current := "zone", ""
+	if s.isolated {
+		reason = "isolated"
+	}
+	if s.conn != nil {
+		current = s.conn.Peer
+	}
 	s.mu.Unlock()
-	if exhausted && link != nil {
+	if !exhausted {
+		return
+	}
+	s.c.Log.Log(evNotMoved).Str("process", current).Str("reason", reason).Int("asked", len(m.targets)).Send()
+	if link != nil {
 		link.Close()
 	}
 }
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -30,6 +30,8 @@
 	evInvalid    = event.Declare(603, zerolog.WarnLevel, "message of a control instance refused")
 	evMoved      = event.Declare(604, zerolog.InfoLevel, "moving the session to a preferred control instance")
 	evNoInstance = event.Declare(605, zerolog.ErrorLevel, "settings name no control instance")
+	evNotMoved   = event.Declare(606, zerolog.InfoLevel, "no preferable control instance found; the session stays")
+	evUpdated    = event.Declare(607, zerolog.InfoLevel, "configuration is in force")
 )
 
 // Bounds of the backoff after refused sessions.
@@ -293,6 +295,10 @@
 	if now := s.view.Current(); now != nil {
 		a.Version = now.Version
 	}
+	if err == nil && m.Delta != nil {
+		s.c.Log.Log(evUpdated).Str("process", c.Peer).Uint("version", uint64(a.Version)).Uint("previous", uint64(m.Delta.From)).
+			Int("changes", len(m.Delta.Upserts)+len(m.Delta.Removes)).Send()
+	}
 	if err != nil {
 		a.Rejected = err.Error()
 	}
