session: failing test, a node stays with an isolated instance (KNOWN-RED)

Callers see a 404 for a route whose configuration was acknowledged seconds ago. A node tries to leave only when a pong first says that its instance is isolated; if all others also say so at that moment, nothing starts another attempt before home_retry.

--- a/plugin/session/move_test.go
+++ b/plugin/session/move_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,41 +16,91 @@
 	_ "github.com/celeryyard/celeryyard/plugin/view" // registers itself
 )
 
-// fakeInstance answers nodes as a control instance that has nothing to send.
-type fakeInstance struct{}
+// fakeInstance answers nodes as a control instance that has nothing to send. It reports that it is
+// isolated while isolated is set.
+type fakeInstance struct{ isolated atomic.Bool }
 
-func (fakeInstance) Start(context.Context) error { return nil }
-func (fakeInstance) Stop(context.Context) error  { return nil }
+func (*fakeInstance) Start(context.Context) error { return nil }
+func (*fakeInstance) Stop(context.Context) error  { return nil }
 
 func init() {
 	kernel.Register(kernel.Registration{
 		Name: "instance", Needs: []string{"peer"},
 		New: func(c *kernel.Context) (kernel.Plugin, error) {
-			p := kernel.MustFind[*peer.Peer](c, "peer")
+			p, f := kernel.MustFind[*peer.Peer](c, "peer"), &fakeInstance{}
 			p.Handle(peerapi.NodeHello, func(_ *rpc.Conn, r *rpc.Request) {
-				r.Reply(&peerapi.HelloReply{Instance: c.Instance.Name})
+				r.Reply(&peerapi.HelloReply{Instance: c.Instance.Name, Isolated: f.isolated.Load()})
 			})
-			p.Handle(peerapi.NodePing, func(_ *rpc.Conn, r *rpc.Request) { r.Reply(&peerapi.Pong{}) })
-			return fakeInstance{}, nil
+			p.Handle(peerapi.NodePing, func(_ *rpc.Conn, r *rpc.Request) { r.Reply(&peerapi.Pong{Isolated: f.isolated.Load()}) })
+			return f, nil
 		},
 	})
 }
 
-// startAttachedSession starts a control instance and a node that is attached to it. It returns the
-// node's session and a function that opens further connections to the instance.
-func startAttachedSession(t *testing.T) (s *Session, dial func() (*peer.Link, *rpc.Conn)) {
-	key, address := kerneltest.WriteFleetKeyFile(t), kerneltest.FreeAddress(t)
-	list := fmt.Sprintf(`[{"name": "control-0", "address": %q, "availability_zone": "z"}]`, address)
-	kerneltest.Start(t, []string{"peer", "instance"}, fmt.Sprintf(
-		`{"instance": {"name": "control-0", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"listen": %q, "instances": %s}}`, key, address, list), false)
+// startFleet starts control instances and a node of the zone z with the given settings of its session.
+// Each element of zones is the zone of one instance.
+func startFleet(t *testing.T, zones []string, session string) (s *Session, instances []*fakeInstance) {
+	key := kerneltest.WriteFleetKeyFile(t)
+	var addresses, list []string
+	for i, zone := range zones {
+		addresses = append(addresses, kerneltest.FreeAddress(t))
+		list = append(list, fmt.Sprintf(`{"name": "control-%d", "address": %q, "availability_zone": %q}`, i, addresses[i], zone))
+	}
+	all := "[" + strings.Join(list, ",") + "]"
+	for i, zone := range zones {
+		k, _ := kerneltest.Start(t, []string{"peer", "instance"}, fmt.Sprintf(
+			`{"instance": {"name": "control-%d", "availability_zone": %q, "fleet_key_file": %q}, "peer": {"listen": %q, "instances": %s}}`,
+			i, zone, key, addresses[i], all), false)
+		instances = append(instances, k.Plugin("instance").(*fakeInstance))
+	}
 	k, _ := kerneltest.Start(t, []string{"peer", "view", "session"}, fmt.Sprintf(
-		`{"instance": {"name": "n1", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"instances": %s}, "session": {"ping_interval": "50ms"}}`, key, list), false)
+		`{"instance": {"name": "n1", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"instances": %s}, "session": %s}`, key, all, session), false)
 	s = k.Plugin("session").(*Session)
 	kerneltest.WaitUntil(t, 5*time.Second, "session", s.Attached)
-	p := k.Plugin("peer").(*peer.Peer)
+	return s, instances
+}
+
+// attachedTo returns the name of the control instance of the session; empty if there is none.
+func attachedTo(s *Session) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.attached {
+		return ""
+	}
+	return s.conn.Peer
+}
+
+// Guards against a node that stays with a control instance that is cut off, because its first attempt
+// to leave found the other instances without a leader as well: it serves an old configuration until
+// home_retry ends.
+func TestNodeLeavesIsolatedInstanceOnceAnotherHasRecovered(t *testing.T) {
+	s, instances := startFleet(t, []string{"z", "y", "x"}, `{"ping_interval": "50ms", "home_retry": "10m"}`)
+	if at := attachedTo(s); at != "control-0" {
+		t.Fatalf("node is attached to %q, not to the instance of its zone", at)
+	}
+	for _, i := range instances {
+		i.isolated.Store(true)
+	}
+	time.Sleep(time.Second) // an election: several pings and attempts to leave
+	instances[2].isolated.Store(false)
+	recovered := time.Now()
+	const bound = time.Second // 50 ms to the next ping, a pause of 37 ms at most, a handshake with each instance
+	for attachedTo(s) != "control-2" {
+		if time.Since(recovered) > bound {
+			t.Fatalf("node is attached to %q %v after another instance has reached the quorum again", attachedTo(s), bound)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// startAttachedSession starts a control instance and a node that is attached to it. It returns the
+// node's session and a function that opens further connections to the instance.
+func startAttachedSession(t *testing.T) (s *Session, dial func() (*peer.Link, *rpc.Conn)) {
+	s, _ = startFleet(t, []string{"z"}, `{"ping_interval": "50ms"}`)
+	address := s.peer.Instances()[0].Address
 	return s, func() (*peer.Link, *rpc.Conn) {
 		up := make(chan *rpc.Conn, 1)
-		l := p.ConnectAny(func(int) string { return address }, func(c *rpc.Conn) {
+		l := s.peer.ConnectAny(func(int) string { return address }, func(c *rpc.Conn) {
 			select {
 			case up <- c:
 			default:
