session: a node keeps trying to leave an isolated instance

What callers saw: a node that answers 404, or by an old route, for a configuration acknowledged seconds before. Cause: the attempt to leave was tied to the change of a state (the first pong that says isolated). When all instances are isolated at once, as during an election after a cut of the leader, that attempt finds no target and nothing starts another before home_retry (5 to 15 s). Change: while the instance is isolated each pong starts an attempt unless one is scheduled or in progress; the answer to a hello counts like a pong, so a node that reconnects to an isolated instance does not wait for its first ping.

--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -43,22 +43,38 @@
 		if s.onLoads != nil && len(r.Loads) > 0 {
 			s.onLoads(r.Loads)
 		}
-		s.handlePong(c, r.Isolated)
+		s.recordIsolation(c, r.Isolated)
 	})
 }
 
-// handlePong records whether the instance reaches the quorum. When it no longer does, the node
-// tries to move to another instance after a short random pause, so that the nodes of the instance
-// do not move all at once. handlePong does nothing if c is no longer the session's connection.
-func (s *Session) handlePong(c *rpc.Conn, isolated bool) {
+// recordIsolation records whether the instance of the connection c reaches the quorum. While it does
+// not, the node tries to move to another instance, each time after a short random pause, so that the
+// nodes of the instance do not move all at once. An attempt can fail because all instances are
+// isolated during an election, so each report schedules one unless one is scheduled or in progress.
+// recordIsolation does nothing if c is no longer the session's connection.
+func (s *Session) recordIsolation(c *rpc.Conn, isolated bool) {
 	s.mu.Lock()
-	becameIsolated := s.conn == c && isolated && !s.isolated
-	if s.conn == c {
-		s.isolated = isolated
+	if s.conn != c {
+		s.mu.Unlock()
+		return
+	}
+	s.isolated = isolated
+	schedule := isolated && !s.leaveScheduled && s.candidate == nil
+	s.leaveScheduled = s.leaveScheduled || schedule
+	s.mu.Unlock()
+	if schedule {
+		s.c.RunAfter(randomMovePause(s.s.meanLeavePause(), s.c.NewRand()), "session/move", s.leaveIsolated)
 	}
+}
+
+// leaveIsolated tries to move the session if its instance is still isolated.
+func (s *Session) leaveIsolated() {
+	s.mu.Lock()
+	s.leaveScheduled = false
+	isolated := s.isolated
 	s.mu.Unlock()
-	if becameIsolated {
-		s.c.RunAfter(randomMovePause(s.s.meanLeavePause(), s.c.NewRand()), "session/move", s.tryMove)
+	if isolated {
+		s.tryMove()
 	}
 }
 
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -77,8 +77,9 @@
 	linkMove *moveAttempt
 	conn     *rpc.Conn
 	attached bool
-	// isolated is set when the current instance does not reach the quorum.
-	isolated bool
+	// isolated is set while the current instance does not reach the quorum. leaveScheduled is set
+	// while an attempt to leave it is scheduled.
+	isolated, leaveScheduled bool
 	// consecutiveRefusals counts the refused sessions since the last one that started.
 	consecutiveRefusals int
 
@@ -249,6 +250,7 @@
 	}
 	s.attachments.Inc()
 	s.c.Log.Log(evAttached).Str("process", c.Peer).Str("waiting", r.WaitingReason).Send()
+	s.recordIsolation(c, r.Isolated)
 	for _, f := range s.onAttach {
 		f(r.Known)
 	}
