peer: a paused instance does not hold up the nodes that connect to it

Cause: the operating system of a paused process accepts connections. The side that dialled then waited 5 s for the handshake, while dial_timeout and silence_timeout are far lower, so a node that starts, returns to its zone or leaves an isolated instance was held for longer than a change may take (3 s). Change: the side that dials waits for the handshake for at most silence_timeout.

--- a/core/rpc/conn.go
+++ b/core/rpc/conn.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
@@ -35,10 +36,10 @@
 
 var lastConnID atomic.Uint64
 
-// Open runs the handshake on c, which blocks, and then calls h for each received request. isClient
-// is true on the side that dialled. If there is an error, Open closes c.
-func Open(c net.Conn, key Key, name string, isClient bool, h Handler) (*Conn, error) {
-	peer, err := handshake(c, key, name, isClient)
+// Open runs the handshake on c, which blocks for at most timeout, and then calls h for each received
+// request. isClient is true on the side that dialled. If there is an error, Open closes c.
+func Open(c net.Conn, key Key, name string, isClient bool, timeout time.Duration, h Handler) (*Conn, error) {
+	peer, err := handshake(c, key, name, isClient, timeout)
 	if err != nil {
 		_ = c.Close()
 		return nil, err
--- a/core/rpc/handshake.go
+++ b/core/rpc/handshake.go
@@ -12,8 +12,9 @@
 	"github.com/go-json-experiment/json"
 )
 
-// handshakeTimeout is the maximum duration of the handshake; after it, the connection is closed.
-const handshakeTimeout = 5 * time.Second
+// MaxHandshakeTime is the duration of a handshake after which the side that accepted the connection
+// closes it.
+const MaxHandshakeTime = 5 * time.Second
 
 // maxHandshakeBytes is the maximum size of a handshake message. It limits the memory that an
 // unauthenticated peer can make this process allocate.
@@ -82,9 +83,9 @@
 }
 
 // handshake authenticates both sides with the fleet key and returns the instance name of the
-// peer.
-func handshake(c net.Conn, key Key, name string, isClient bool) (string, error) {
-	if err := c.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+// peer. It fails after timeout.
+func handshake(c net.Conn, key Key, name string, isClient bool, timeout time.Duration) (string, error) {
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return "", err
 	}
 	local := handshakeMessage{Name: name, Nonce: make([]byte, 16)}
--- a/core/rpc/rpc_test.go
+++ b/core/rpc/rpc_test.go
@@ -52,14 +52,14 @@
 	key := NewKey([]byte("0123456789abcdef"))
 	opened := make(chan *Conn, 1)
 	go func() {
-		c, err := Open(a, key, "a", true, func(*Conn, *Request) {})
+		c, err := Open(a, key, "a", true, MaxHandshakeTime, func(*Conn, *Request) {})
 		if err != nil {
 			t.Error(err)
 		}
 		opened <- c
 	}()
 	// The peer completes the handshake and then reads nothing.
-	if _, err := handshake(b, key, "b", false); err != nil {
+	if _, err := handshake(b, key, "b", false, MaxHandshakeTime); err != nil {
 		t.Fatal(err)
 	}
 	c := <-opened
@@ -88,7 +88,7 @@
 	var held []*Request
 	ready := make(chan struct{})
 	go func() {
-		_, err := Open(b, key, "b", false, func(_ *Conn, r *Request) {
+		_, err := Open(b, key, "b", false, MaxHandshakeTime, func(_ *Conn, r *Request) {
 			held = append(held, r)
 			if len(held) < 2 {
 				return
@@ -102,7 +102,7 @@
 		}
 		close(ready)
 	}()
-	c, err := Open(a, key, "a", true, func(*Conn, *Request) {})
+	c, err := Open(a, key, "a", true, MaxHandshakeTime, func(*Conn, *Request) {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -174,11 +174,11 @@
 		a, b := newTCPPair(t)
 		got := make(chan *Request, 1)
 		go func() {
-			if _, err := Open(b, key, "b", false, func(_ *Conn, r *Request) { got <- r }); err != nil {
+			if _, err := Open(b, key, "b", false, MaxHandshakeTime, func(_ *Conn, r *Request) { got <- r }); err != nil {
 				t.Error(err)
 			}
 		}()
-		c, err := Open(a, key, "a", true, func(*Conn, *Request) {})
+		c, err := Open(a, key, "a", true, MaxHandshakeTime, func(*Conn, *Request) {})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -36,7 +36,7 @@
 		return err == nil
 	})
 	r := &rawNode{t: f.t, name: name}
-	r.conn, err = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.FleetKey)), name, true, func(_ *rpc.Conn, q *rpc.Request) {
+	r.conn, err = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.FleetKey)), name, true, rpc.MaxHandshakeTime, func(_ *rpc.Conn, q *rpc.Request) {
 		var u peerapi.Update
 		if err := json.Unmarshal(q.Params, &u); err != nil {
 			f.t.Error(err)
@@ -172,7 +172,7 @@
 				return
 			}
 			go func() { // answers the hello and no message after it
-				_, _ = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.FleetKey)), "control-0", false, func(_ *rpc.Conn, r *rpc.Request) {
+				_, _ = rpc.Open(nc, rpc.NewKey([]byte(kerneltest.FleetKey)), "control-0", false, rpc.MaxHandshakeTime, func(_ *rpc.Conn, r *rpc.Request) {
 					if r.Method == peerapi.NodeHello {
 						r.Reply(&peerapi.HelloReply{Instance: "control-0"})
 					}
--- a/plugin/peer/peer_test.go
+++ b/plugin/peer/peer_test.go
@@ -76,7 +76,7 @@
 		ok  bool
 	}{{kerneltest.FleetKey, true}, {"another-fleet-key-9876543210", false}} {
 		nc := dial(t, addr)
-		c, err := rpc.Open(nc, rpc.NewKey([]byte(tc.key)), "b", true, func(*rpc.Conn, *rpc.Request) {})
+		c, err := rpc.Open(nc, rpc.NewKey([]byte(tc.key)), "b", true, rpc.MaxHandshakeTime, func(*rpc.Conn, *rpc.Request) {})
 		if (err == nil) != tc.ok {
 			t.Fatalf("key %q: error %v, want success %v", tc.key, err, tc.ok)
 		}
--- a/plugin/peer/plugin.go
+++ b/plugin/peer/plugin.go
@@ -189,9 +189,15 @@
 	}
 }
 
-// openConn runs the handshake and adds the connection to the table.
+// openConn runs the handshake and adds the connection to the table. On the side that dialled, the
+// handshake takes at most SilenceTimeout: the operating system of a paused process accepts
+// connections, and another instance may answer.
 func (p *Peer) openConn(nc net.Conn, isClient bool) (*rpc.Conn, error) {
-	c, err := rpc.Open(nc, p.key, p.c.Instance.Name, isClient, p.dispatch)
+	timeout := rpc.MaxHandshakeTime
+	if isClient {
+		timeout = min(timeout, p.s.SilenceTimeout.AsDuration())
+	}
+	c, err := rpc.Open(nc, p.key, p.c.Instance.Name, isClient, timeout, p.dispatch)
 	if err != nil {
 		return nil, err
 	}
--- a/plugin/peer/setup.go
+++ b/plugin/peer/setup.go
@@ -58,7 +58,7 @@
 	// DialTimeout is the timeout of one attempt to connect.
 	DialTimeout settings.Duration `json:"dial_timeout"`
 	// SilenceTimeout is the time after which a connection is closed if the operating system of
-	// the peer acknowledges nothing.
+	// the peer acknowledges nothing. It also limits the handshake of an outgoing connection.
 	SilenceTimeout settings.Duration `json:"silence_timeout"`
 	// MinBackoff is the back-off after a lost connection or the first failed attempt to connect.
 	// The back-off doubles with each further failure, up to MaxBackoff. The pause before the next
--- a/plugin/session/move_test.go
+++ b/plugin/session/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -38,10 +39,19 @@
 }
 
 // startFleet starts control instances and a node of the zone z with the given settings of its session.
-// Each element of zones is the zone of one instance.
-func startFleet(t *testing.T, zones []string, session string) (s *Session, instances []*fakeInstance) {
+// Each element of zones is the zone of one instance. The node also knows silentCount instances of its
+// own zone, which accept connections and never answer.
+func startFleet(t *testing.T, zones []string, silentCount int, session string) (s *Session, instances []*fakeInstance) {
 	key := kerneltest.WriteFleetKeyFile(t)
 	var addresses, list []string
+	for i := range silentCount {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		list = append(list, fmt.Sprintf(`{"name": "silent-%d", "address": %q, "availability_zone": "z"}`, i, l.Addr()))
+	}
 	for i, zone := range zones {
 		addresses = append(addresses, kerneltest.FreeAddress(t))
 		list = append(list, fmt.Sprintf(`{"name": "control-%d", "address": %q, "availability_zone": %q}`, i, addresses[i], zone))
@@ -54,9 +64,9 @@
 		instances = append(instances, k.Plugin("instance").(*fakeInstance))
 	}
 	k, _ := kerneltest.Start(t, []string{"peer", "view", "session"}, fmt.Sprintf(
-		`{"instance": {"name": "n1", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"instances": %s}, "session": %s}`, key, all, session), false)
+		`{"instance": {"name": "n1", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"instances": %s, "silence_timeout": "1500ms"}, "session": %s}`, key, all, session), false)
 	s = k.Plugin("session").(*Session)
-	kerneltest.WaitUntil(t, 5*time.Second, "session", s.Attached)
+	kerneltest.WaitUntil(t, 30*time.Second, "session", s.Attached)
 	return s, instances
 }
 
@@ -74,7 +84,7 @@
 // to leave found the other instances without a leader as well: it serves an old configuration until
 // home_retry ends.
 func TestNodeLeavesIsolatedInstanceOnceAnotherHasRecovered(t *testing.T) {
-	s, instances := startFleet(t, []string{"z", "y", "x"}, `{"ping_interval": "50ms", "home_retry": "10m"}`)
+	s, instances := startFleet(t, []string{"z", "y", "x"}, 0, `{"ping_interval": "50ms", "home_retry": "10m"}`)
 	if at := attachedTo(s); at != "control-0" {
 		t.Fatalf("node is attached to %q, not to the instance of its zone", at)
 	}
@@ -93,10 +103,24 @@
 	}
 }
 
+// maxReattachTime is how soon a node must have a session again after its control instance is lost: a
+// change is in force everywhere within 3 s.
+const maxReattachTime = 3 * time.Second
+
+// Guards against a node that starts while the instance of its zone is paused: the operating system
+// accepts the connection, and the node waits for the handshake instead of trying another instance.
+func TestPausedInstanceDoesNotDelayTheFirstSession(t *testing.T) {
+	started := time.Now()
+	startFleet(t, []string{"y"}, 1, `{"ping_interval": "50ms"}`)
+	if d := time.Since(started); d > maxReattachTime {
+		t.Errorf("node has its first session after %v, more than %v", d, maxReattachTime)
+	}
+}
+
 // startAttachedSession starts a control instance and a node that is attached to it. It returns the
 // node's session and a function that opens further connections to the instance.
 func startAttachedSession(t *testing.T) (s *Session, dial func() (*peer.Link, *rpc.Conn)) {
-	s, _ = startFleet(t, []string{"z"}, `{"ping_interval": "50ms"}`)
+	s, _ = startFleet(t, []string{"z"}, 0, `{"ping_interval": "50ms"}`)
 	address := s.peer.Instances()[0].Address
 	return s, func() (*peer.Link, *rpc.Conn) {
 		up := make(chan *rpc.Conn, 1)
