--- a/plugin/session/move_test.go
+++ b/plugin/session/move_test.go
@@ -62,6 +62,11 @@
 			`{"instance": {"name": "control-%d", "availability_zone": %q, "fleet_key_file": %q}, "peer": {"listen": %q, "instances": %s}}`,
 			i, zone, key, addresses[i], all), false)
 		instances = append(instances, k.Plugin("instance").(*fakeInstance))
+		// A node that starts before an instance listens would attach to another one.
+		kerneltest.WaitUntil(t, 5*time.Second, "listener of the instance", func() bool {
+			c, err := net.Dial("tcp", addresses[i])
+			return err == nil && c.Close() == nil
+		})
 	}
 	k, _ := kerneltest.Start(t, []string{"peer", "view", "session"}, fmt.Sprintf(
 		`{"instance": {"name": "n1", "availability_zone": "z", "fleet_key_file": %q}, "peer": {"instances": %s, "silence_timeout": "1500ms"}, "session": %s}`, key, all, session), false)
