discovery, distribution, session: nodes try unreachable control instances last

Cause: instances that were replaced stay in the list of every node. Change: a control instance tells its nodes, in the answer to a hello and in a pong after each change, to which instances it has had no connection for 5 s; nodes put them last. Lists of an isolated instance are not used.

--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -54,6 +54,9 @@
 	// Instances lists the control instances that the sender knows in an open fleet, itself
 	// included; empty in any other fleet.
 	Instances []Instance `json:"instances,omitempty"`
+	// Unreachable names the control instances to which the sender has had no connection for some
+	// time. Nodes try them last.
+	Unreachable []string `json:"unreachable,omitempty"`
 	// Known is the last announcement of the node that the instance knows of; nil if there is none. A
 	// node that was restarted learns from it what its upstream stated before.
 	Known *resource.Announcement `json:"known,omitempty"`
@@ -114,6 +117,9 @@
 	Isolated bool `json:"isolated,omitzero"`
 	// Loads holds the known endpoint loads of the services named in the ping.
 	Loads []ServiceLoads `json:"l,omitempty"`
+	// Unreachable replaces HelloReply.Unreachable; nil if the list has not changed since it was last
+	// sent in the session.
+	Unreachable *[]string `json:"u,omitempty"`
 }
 
 // Record is the entry of a node in the endpoint table.
--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,10 +16,13 @@
 // remote is the state for sending to another control instance. At most one message awaits
 // its reply; changes are collected until the reply arrives. Guarded by Discovery.mu.
 type remote struct {
-	name          string
-	link          *peer.Link
-	conn          *rpc.Conn
-	awaitingReply bool
+	name string
+	link *peer.Link
+	conn *rpc.Conn
+	// disconnectedAt is the time at which the last connection ended, or at which the instance was
+	// learned of; it is not used while conn is set.
+	disconnectedAt time.Time
+	awaitingReply  bool
 	// resync makes the next message carry all records.
 	resync bool
 	// seq is the sequence number of the last message sent.
@@ -41,7 +45,7 @@
 // connect opens a connection to another instance and reopens it whenever it is closed. It does
 // nothing if m is this instance or connect was called for it before.
 func (d *Discovery) connect(m peer.Member) {
-	t := &remote{name: m.Name, unsentNodes: map[string]bool{}}
+	t := &remote{name: m.Name, unsentNodes: map[string]bool{}, disconnectedAt: d.c.Clock.Now()}
 	d.mu.Lock()
 	if d.remotes[m.Name] != nil || m.Name == d.c.Instance.Name {
 		d.mu.Unlock()
@@ -70,7 +74,7 @@
 func (d *Discovery) onClose(c *rpc.Conn) {
 	d.mu.Lock()
 	if t := d.remotes[c.Peer]; t != nil && t.conn == c {
-		t.conn = nil
+		t.conn, t.disconnectedAt = nil, d.c.Clock.Now()
 	}
 	d.mu.Unlock()
 	d.releaseWaiters()
@@ -99,6 +103,22 @@
 	return out
 }
 
+// Unreachable returns, in ascending order, the names of the known control instances to which there has
+// been no connection for at least minTime.
+func (d *Discovery) Unreachable(minTime time.Duration) []string {
+	now := d.c.Clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []string
+	for name, t := range d.remotes {
+		if t.conn == nil && now.Sub(t.disconnectedAt) >= minTime {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func (d *Discovery) sendAll(heartbeat bool) {
 	d.mu.Lock()
 	remotes := make([]*remote, 0, len(d.remotes))
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,10 @@
 	"github.com/celeryyard/celeryyard/core/rpc"
 )
 
+// unreachableAfter is the time without a connection to another control instance after which nodes are
+// told to try that instance last. A restart of an instance takes less.
+const unreachableAfter = 5 * time.Second
+
 // onHello opens the session of a node. A hello that is a probe is answered without opening one.
 func (d *Distribution) onHello(c *rpc.Conn, r *rpc.Request) {
 	h := &peerapi.Hello{}
@@ -23,13 +28,15 @@
 		return
 	}
 	now := d.c.Clock.Now()
-	reply := &peerapi.HelloReply{Instance: d.c.Instance.Name, Isolated: d.isIsolated(now), Instances: d.openFleetInstances()}
+	reply := &peerapi.HelloReply{
+		Instance: d.c.Instance.Name, Isolated: d.isIsolated(now), Instances: d.openFleetInstances(), Unreachable: d.discovery.Unreachable(unreachableAfter),
+	}
 	if h.Probe {
 		r.Reply(reply)
 		return
 	}
 	d.trace.Record("distribution", "hello", now, h.Node, h)
-	e := &nodeSession{session: newSession(h), conn: c}
+	e := &nodeSession{session: newSession(h), conn: c, sentUnreachable: reply.Unreachable}
 	e.group = subscriptionGroup(e.session)
 	e.lastReceived.Store(now.UnixNano())
 	needsBarrier := d.attach(e, h, now)
@@ -204,7 +211,22 @@
 	if p.Report != nil {
 		d.capacity.Report(e.node, *p.Report)
 	}
-	r.Reply(&peerapi.Pong{Isolated: d.isIsolated(d.c.Clock.Now()), Loads: d.capacity.Loads(p.Calls)})
+	r.Reply(&peerapi.Pong{Isolated: d.isIsolated(d.c.Clock.Now()), Loads: d.capacity.Loads(p.Calls), Unreachable: d.changedUnreachable(e)})
+}
+
+// changedUnreachable returns the unreachable instances if the node was last told of others, else nil.
+func (d *Distribution) changedUnreachable(e *nodeSession) *[]string {
+	list := d.discovery.Unreachable(unreachableAfter)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if slices.Equal(list, e.sentUnreachable) {
+		return nil
+	}
+	e.sentUnreachable = list
+	if list == nil {
+		list = []string{} // nil would be encoded as null, which means no change
+	}
+	return &list
 }
 
 // onAnnounce stores the record of the node's upstream. The announcement of a draining or withdrawn
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -53,6 +53,9 @@
 	SetVersionCallbacks(ownVersion func() resource.Version, onPeerVersion func(v resource.Version))
 	// Conn returns the connection to another instance, or nil.
 	Conn(instance string) *rpc.Conn
+	// Unreachable returns, in ascending order, the other instances to which there has been no
+	// connection for at least minTime.
+	Unreachable(minTime time.Duration) []string
 }
 
 // Capacity is the interface of the plug-in "capacity" that distribution uses.
@@ -76,6 +79,8 @@
 	resumed bool
 	// sentAt is the time at which the last update was sent.
 	sentAt time.Time
+	// sentUnreachable lists the unreachable instances that the node was last told of.
+	sentUnreachable []string
 }
 
 // Distribution is the plug-in. It implements api.Fleet.
--- a/plugin/session/choose.go
+++ b/plugin/session/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -9,21 +10,26 @@
 type instance struct{ name, address, zone string }
 
 // orderInstances returns the control instances in the order in which a node of the zone tries
-// them: first those of the zone, whose number is homeCount, and then all others. Both groups are
-// shuffled, so that the nodes are distributed over the instances.
-func orderInstances(instances []instance, zone string, rng *rand.Rand) (ordered []instance, homeCount int) {
-	var others []instance
+// them: first those of the zone, whose number is homeCount, then those of other zones, and last the
+// unreachable ones, such as instances that were replaced. The groups are shuffled, so that the nodes are
+// distributed over the instances.
+func orderInstances(instances []instance, zone string, unreachable []string, rng *rand.Rand) (ordered []instance, homeCount int) {
+	var others, last []instance
 	for _, m := range instances {
-		if m.zone == zone {
+		switch {
+		case slices.Contains(unreachable, m.name):
+			last = append(last, m)
+		case m.zone == zone:
 			ordered = append(ordered, m)
-		} else {
+		default:
 			others = append(others, m)
 		}
 	}
+	for _, group := range [][]instance{ordered, others, last} {
+		rng.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	}
 	homeCount = len(ordered)
-	rng.Shuffle(homeCount, func(i, j int) { ordered[i], ordered[j] = ordered[j], ordered[i] })
-	rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	return append(ordered, others...), homeCount
+	return append(append(ordered, others...), last...), homeCount
 }
 
 // chooseInstance returns the instance for a connection attempt; attempt is the number of failed
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -1,6 +1,8 @@
 package session
 
 import (
+	"slices"
+
 	"github.com/go-json-experiment/json"
 
 	"github.com/celeryyard/celeryyard/core/peerapi"
@@ -43,10 +45,25 @@
 		if s.onLoads != nil && len(r.Loads) > 0 {
 			s.onLoads(r.Loads)
 		}
+		if r.Unreachable != nil && !r.Isolated {
+			s.recordUnreachable(*r.Unreachable)
+		}
 		s.recordIsolation(c, r.Isolated)
 	})
 }
 
+// recordUnreachable changes the order of the instances to one in which the named ones come last. Lists
+// of an isolated instance are not used: it is the one that is unreachable.
+func (s *Session) recordUnreachable(names []string) {
+	s.mu.Lock()
+	changed := !slices.Equal(names, s.unreachable)
+	s.unreachable = names
+	s.mu.Unlock()
+	if changed {
+		s.updateInstances()
+	}
+}
+
 // recordIsolation records whether the instance of the connection c reaches the quorum. While it does
 // not, the node tries to move to another instance, each time after a short random pause, so that the
 // nodes of the instance do not move all at once. An attempt can fail because all instances are
--- a/plugin/session/move_test.go
+++ b/plugin/session/move_test.go
@@ -18,8 +18,12 @@
 )
 
 // fakeInstance answers nodes as a control instance that has nothing to send. It reports that it is
-// isolated while isolated is set.
-type fakeInstance struct{ isolated atomic.Bool }
+// isolated while isolated is set, and that the instances in unreachable are.
+type fakeInstance struct {
+	isolated    atomic.Bool
+	unreachable []string
+	stop        func()
+}
 
 func (*fakeInstance) Start(context.Context) error { return nil }
 func (*fakeInstance) Stop(context.Context) error  { return nil }
@@ -30,7 +34,7 @@
 		New: func(c *kernel.Context) (kernel.Plugin, error) {
 			p, f := kernel.MustFind[*peer.Peer](c, "peer"), &fakeInstance{}
 			p.Handle(peerapi.NodeHello, func(_ *rpc.Conn, r *rpc.Request) {
-				r.Reply(&peerapi.HelloReply{Instance: c.Instance.Name, Isolated: f.isolated.Load()})
+				r.Reply(&peerapi.HelloReply{Instance: c.Instance.Name, Isolated: f.isolated.Load(), Unreachable: f.unreachable})
 			})
 			p.Handle(peerapi.NodePing, func(_ *rpc.Conn, r *rpc.Request) { r.Reply(&peerapi.Pong{Isolated: f.isolated.Load()}) })
 			return f, nil
@@ -43,14 +47,15 @@
 // own zone, which accept connections and never answer.
 func startFleet(t *testing.T, zones []string, silentCount int, session string) (s *Session, instances []*fakeInstance) {
 	key := kerneltest.WriteFleetKeyFile(t)
-	var addresses, list []string
+	var addresses, list, silent []string
 	for i := range silentCount {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { _ = l.Close() })
-		list = append(list, fmt.Sprintf(`{"name": "silent-%d", "address": %q, "availability_zone": "z"}`, i, l.Addr()))
+		silent = append(silent, fmt.Sprintf("silent-%d", i))
+		list = append(list, fmt.Sprintf(`{"name": %q, "address": %q, "availability_zone": "z"}`, silent[i], l.Addr()))
 	}
 	for i, zone := range zones {
 		addresses = append(addresses, kerneltest.FreeAddress(t))
@@ -58,10 +63,12 @@
 	}
 	all := "[" + strings.Join(list, ",") + "]"
 	for i, zone := range zones {
-		k, _ := kerneltest.Start(t, []string{"peer", "instance"}, fmt.Sprintf(
+		k, stop := kerneltest.Start(t, []string{"peer", "instance"}, fmt.Sprintf(
 			`{"instance": {"name": "control-%d", "availability_zone": %q, "fleet_key_file": %q}, "peer": {"listen": %q, "instances": %s}}`,
 			i, zone, key, addresses[i], all), false)
-		instances = append(instances, k.Plugin("instance").(*fakeInstance))
+		instance := k.Plugin("instance").(*fakeInstance)
+		instance.unreachable, instance.stop = silent, stop
+		instances = append(instances, instance)
 		// A node that starts before an instance listens would attach to another one.
 		kerneltest.WaitUntil(t, 5*time.Second, "listener of the instance", func() bool {
 			c, err := net.Dial("tcp", addresses[i])
@@ -112,6 +119,24 @@
 // change is in force everywhere within 3 s.
 const maxReattachTime = 3 * time.Second
 
+// Guards against a node that is without a session for seconds, because it tries one instance after the
+// other that was replaced long ago before it tries one that runs.
+func TestReplacedInstancesDoNotDelayReattaching(t *testing.T) {
+	s, instances := startFleet(t, []string{"y", "y"}, 4, `{"ping_interval": "50ms"}`)
+	lost := 0
+	if attachedTo(s) == "control-1" {
+		lost = 1
+	}
+	instances[lost].stop()
+	lostAt := time.Now()
+	for at := attachedTo(s); at == "" || at == fmt.Sprintf("control-%d", lost); at = attachedTo(s) {
+		if time.Since(lostAt) > maxReattachTime {
+			t.Fatalf("node has no session %v after its instance has stopped", maxReattachTime)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Guards against a node that starts while the instance of its zone is paused: the operating system
 // accepts the connection, and the node waits for the handshake instead of trying another instance.
 func TestPausedInstanceDoesNotDelayTheFirstSession(t *testing.T) {
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -64,9 +64,11 @@
 	// mu guards the fields below.
 	mu *rank.Mutex
 	// instances holds the known control instances in the order in which they are tried. The first
-	// homeCount of them are in the node's own zone.
+	// homeCount of them are in the node's own zone and not in unreachable.
 	instances []instance
 	homeCount int
+	// unreachable names the instances that the last instance with a quorum did not reach.
+	unreachable []string
 	// lastInstance is the instance of the last connection; the next attempts try it last. It is
 	// empty while the node is attached.
 	lastInstance string
@@ -161,9 +163,10 @@
 	for _, m := range s.peer.Instances() {
 		known = append(known, instance{m.Name, m.Address, m.AvailabilityZone})
 	}
-	ordered, homeCount := orderInstances(known, s.c.Instance.AvailabilityZone, s.c.NewRand())
+	rng := s.c.NewRand()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	ordered, homeCount := orderInstances(known, s.c.Instance.AvailabilityZone, s.unreachable, rng)
 	s.instances, s.homeCount = ordered, homeCount
 }
 
@@ -232,6 +235,9 @@
 		for _, m := range r.Instances {
 			s.peer.LearnByName(m.Name, m.AvailabilityZone)
 		}
+		if !r.Isolated {
+			s.recordUnreachable(r.Unreachable)
+		}
 		s.startSession(c, &r)
 	})
 }
