core/httpcall: a call whose client has left is not sent

Cause: a node that is short of processor time reads a request and the end of its connection together, up to 0.9 s late. Change: Do sends nothing once its context has ended; the failure says that nothing ran.

--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -78,9 +78,12 @@
 
 // Do sends the request once and reads the head of the answer. If no byte could be written to a
 // reused connection, Do sends the request on a new one. It blocks until the head is read, ctx ends
-// or the deadline passes.
+// or the deadline passes. If ctx has ended before, Do sends nothing.
 func (c *Client) Do(ctx context.Context, r *Request) (*Exchange, *Failure) {
 	for forceNew := false; ; forceNew = true {
+		if err := ctx.Err(); err != nil {
+			return nil, NewFailure(KindCancelled, verdict.NotRun, err)
+		}
 		k, reused, err := c.getConn(ctx, r, forceNew)
 		if err != nil {
 			return nil, c.classifyConnectError(ctx, r, err)
--- a/core/httpcall/httpcall_test.go
+++ b/core/httpcall/httpcall_test.go
@@ -60,7 +60,11 @@
 }
 
 func doGet(c *Client, address string) (*Exchange, *Failure) {
-	return c.Do(context.Background(), &Request{
+	return doGetWith(context.Background(), c, address)
+}
+
+func doGetWith(ctx context.Context, c *Client, address string) (*Exchange, *Failure) {
+	return c.Do(ctx, &Request{
 		To: Target{Address: address}, Deadline: time.Now().Add(2 * time.Second),
 		HTTP: &http.Request{Method: "GET", URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}},
 	})
