session: a large update on a slow link does not end the session

Cause: the answer to a ping waits behind the update on the same connection. After ping_timeout the node took the instance for dead, connected to another one and was sent the whole update again. Change: an unanswered ping ends the session only if nothing else has arrived on the connection since. The counter of received bytes grows while a frame is being received; TestFramesRoundTrip checks it in place of the size that readFrame returned.

--- a/core/rpc/frame.go
+++ b/core/rpc/frame.go
@@ -42,12 +42,26 @@
 // ErrClosed is returned after the connection is closed.
 var ErrClosed = errors.New("connection is closed")
 
-// TrafficCounters counts the bytes sent and received on connections, including frame headers.
+// TrafficCounters counts the bytes sent and received on connections after the handshake, including
+// frame headers. Received grows while a frame is being received.
 type TrafficCounters struct {
 	Sent     atomic.Uint64
 	Received atomic.Uint64
 }
 
+// countingReader adds the bytes read from r to n.
+type countingReader struct {
+	r io.Reader
+	n *atomic.Uint64
+}
+
+// Read implements io.Reader.
+func (c countingReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n.Add(uint64(n))
+	return n, err
+}
+
 // stream implements jsonrpc2.ObjectStream. One goroutine writes the queued messages, so that
 // a slow peer never blocks a worker.
 type stream struct {
@@ -66,7 +80,7 @@
 }
 
 func newStream(c net.Conn, traffic *TrafficCounters) *stream {
-	s := &stream{conn: c, reader: bufio.NewReaderSize(c, 4096), traffic: traffic, done: make(chan struct{})}
+	s := &stream{conn: c, reader: bufio.NewReaderSize(countingReader{c, &traffic.Received}, 4096), traffic: traffic, done: make(chan struct{})}
 	s.wake = sync.NewCond(&s.mu)
 	go s.writeLoop()
 	return s
@@ -112,8 +126,7 @@
 
 // ReadObject waits for the next message and decodes it into v.
 func (s *stream) ReadObject(v any) error {
-	body, n, err := readFrame(s.reader)
-	s.traffic.Received.Add(uint64(n))
+	body, err := readFrame(s.reader)
 	if err != nil {
 		return err
 	}
@@ -180,32 +193,31 @@
 	return append(frame, body...), nil
 }
 
-// readFrame reads one frame and returns its uncompressed body and its size on the wire.
-func readFrame(r *bufio.Reader) (body []byte, wireBytes int, err error) {
+// readFrame reads one frame and returns its uncompressed body.
+func readFrame(r *bufio.Reader) ([]byte, error) {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	if size == 0 || size > MaxFrameBytes {
-		return nil, 1, errors.Newf("frame length %d is outside 1..%d", size, MaxFrameBytes)
+		return nil, errors.Newf("frame length %d is outside 1..%d", size, MaxFrameBytes)
 	}
-	wireBytes = len(binary.AppendUvarint(nil, size)) + int(size)
 	flag, err := r.ReadByte()
 	if err != nil {
-		return nil, 1, toUnexpectedEOF(err)
+		return nil, toUnexpectedEOF(err)
 	}
 	raw, err := readExactly(r, int(size)-1)
 	if err != nil {
-		return nil, 1, toUnexpectedEOF(err)
+		return nil, toUnexpectedEOF(err)
 	}
 	switch flag {
 	case flagPlain:
-		return raw, wireBytes, nil
+		return raw, nil
 	case flagZstd:
 		plain, err := decoder().DecodeAll(raw, nil)
-		return plain, wireBytes, errors.Wrap(err, "decompress frame")
+		return plain, errors.Wrap(err, "decompress frame")
 	}
-	return nil, wireBytes, errors.Newf("frame flag %d is unknown", flag)
+	return nil, errors.Newf("frame flag %d is unknown", flag)
 }
 
 // readExactly reads n bytes. If n is above maxPreallocBytes, it allocates memory as the bytes arrive,
--- a/core/rpc/rpc_test.go
+++ b/core/rpc/rpc_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,8 +26,9 @@
 		if err != nil {
 			return false
 		}
-		got, wire, err := readFrame(bufio.NewReader(bytes.NewReader(frame)))
-		return err == nil && bytes.Equal(got, body) && wire == len(frame)
+		var wire atomic.Uint64
+		got, err := readFrame(bufio.NewReader(countingReader{bytes.NewReader(frame), &wire}))
+		return err == nil && bytes.Equal(got, body) && wire.Load() == uint64(len(frame))
 	}, gen.AnyString(), gen.IntRange(0, 200)))
 	props.TestingRun(t)
 }
@@ -38,7 +40,7 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0x7f, 1})
 	f.Add([]byte{0})
 	f.Fuzz(func(t *testing.T, b []byte) {
-		body, _, err := readFrame(bufio.NewReader(bytes.NewReader(b)))
+		body, err := readFrame(bufio.NewReader(bytes.NewReader(b)))
 		if err == nil && len(body) > MaxFrameBytes {
 			t.Fatalf("body of %d bytes exceeds the limit", len(body))
 		}
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -1,8 +1,10 @@
 package session
 
 import (
+	"context"
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
 
 	"github.com/celeryyard/celeryyard/core/peerapi"
@@ -10,8 +12,9 @@
 	"github.com/celeryyard/celeryyard/plugin/peer"
 )
 
-// sendPing sends a heartbeat if the node is attached. If the instance does not answer, the connection
-// is closed and the link connects to another instance.
+// sendPing sends a heartbeat if the node is attached. If the instance does not answer and nothing else
+// arrives from it either, the connection is closed and the link connects to another instance. An answer
+// may wait behind a large update on a slow link; a new session would have to get that update again.
 func (s *Session) sendPing() {
 	s.mu.Lock()
 	c := s.conn
@@ -32,7 +35,11 @@
 	if s.calledServices != nil {
 		p.Calls = s.calledServices()
 	}
+	received := c.Traffic.Received.Load()
 	s.call(c, peerapi.NodePing, p, s.s.PingTimeout.AsDuration(), func(raw []byte, err error) {
+		if errors.Is(err, context.DeadlineExceeded) && c.Traffic.Received.Load() != received {
+			return // a later ping decides
+		}
 		var r peerapi.Pong
 		if err == nil {
 			err = json.Unmarshal(raw, &r)
