outbound, inbound: the request target is forwarded byte for byte

What callers saw: /o/a|b reaches the endpoint as /o/a%7Cb (also {, }, ", \, ^, ` and bytes above 127), /o%2Fa is routed as a path below /o/, and a target with a malformed escape gets a closed connection instead of a response. Cause: net/http escapes the path again unless it is a valid RawPath; routes were matched on the decoded path; url.Error is also a net.Error, which the server took for a client that is gone. Change: both hops build the URL of a dispatch in one place, core/httpcall.ForwardedURL. Routes are matched on RoutingPath: escapes are decoded, but an escaped slash is no separator. A path that starts with // and has such characters cannot be sent unchanged by net/http and is refused with 400. Malformed targets are answered with 400.

--- a/core/httpserve/conn.go
+++ b/core/httpserve/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"runtime/debug"
 	"strings"
@@ -280,9 +281,12 @@
 // client is not there to read it. exhausted means that the head is longer than the limit.
 func statusOf(err error, exhausted bool) int {
 	var ne net.Error
+	var target *url.Error
 	switch {
 	case exhausted:
 		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &target):
+		return http.StatusBadRequest // the request target is malformed; a url.Error is also a net.Error
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &ne):
 		return 0
 	case strings.Contains(err.Error(), "unsupported transfer encoding"):
--- a/core/resource/match.go
+++ b/core/resource/match.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net"
+	"net/url"
 	"slices"
 	"sort"
 	"strings"
@@ -83,8 +84,27 @@
 	return a.Name < b.Name
 }
 
-// Find returns the route for a request, or nil. Routes of the given host take precedence
-// over routes for any host. host may have a port, which is ignored.
+// escapedSlash is the escape of a slash that does not separate path segments, as RoutingPath returns it.
+const escapedSlash = "%2F"
+
+// RoutingPath returns the path of u that is matched with routes: its escapes are decoded, but an escaped
+// slash stays one, so that "/a%2Fb" is no path below "/a/" (RFC 3986, section 2.2: an escaped delimiter is
+// not equivalent to the delimiter).
+func RoutingPath(u *url.URL) string {
+	if !strings.Contains(u.RawPath, "%2") {
+		return u.Path // net/url sets RawPath if there is an escaped slash
+	}
+	parts := strings.Split(strings.ReplaceAll(u.RawPath, "%2f", escapedSlash), escapedSlash)
+	for i, p := range parts {
+		if decoded, err := url.PathUnescape(p); err == nil {
+			parts[i] = decoded
+		}
+	}
+	return strings.Join(parts, escapedSlash)
+}
+
+// Find returns the route for a request, or nil; path is that of RoutingPath. Routes of the given host
+// take precedence over routes for any host. host may have a port, which is ignored.
 func (t *RouteTable) Find(method, host, path string) *Route {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -66,6 +66,10 @@
 	}
 	c.info = info
 	c.deadline = time.Now().Add(info.Remaining)
+	if c.url, err = httpcall.ForwardedURL(r.URL); err != nil {
+		c.reject(httpcall.ReasonMalformed)
+		return
+	}
 	c.admit()
 	if c.aborted {
 		panic(http.ErrAbortHandler)
@@ -238,8 +242,6 @@
 		ID: c.info.ID, Remaining: c.deadline.Sub(begin), Caller: c.info.Caller, Upstream: c.in.announce.UpstreamID(),
 	}
 	c.in.dialect.WriteDispatch(header, c.dispatch)
-	c.url = *c.r.URL
-	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
 	if c.info.TargetLatency > 0 {
 		c.in.usage.callStarted(c, c.info.Class(), begin)
 		defer func() { c.in.usage.callEnded(c, c.outcome(x), time.Now()) }()
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -45,9 +45,10 @@
 	// aborted means that the response was started and cannot be completed.
 	aborted  bool
 	queuedAt time.Time
-	// url, info and tried are used by run and attempt, and are fields only to avoid allocations.
-	// tried has enough elements for all dispatches of a call.
-	url   url.URL
+	// url is the URL of all dispatches.
+	url url.URL
+	// info and tried are used by run and attempt, and are fields only to avoid allocations. tried has
+	// enough elements for all dispatches of a call.
 	info  httpcall.Call
 	tried [resource.MaxAttempts + maxOffers]*endpoint
 }
@@ -139,8 +140,6 @@
 	header := make(http.Header, len(c.r.Header)+4)
 	httpcall.ForwardHeaders(header, c.r.Header)
 	c.o.dialect.StripHeaders(header)
-	c.url = *c.r.URL
-	c.url.Scheme, c.url.Host, c.url.User = "", "", nil
 	c.info.Service, c.info.Organisation = c.cluster.Service, c.route.Organisation
 	c.info.ID, c.info.Caller, c.info.Priority, c.info.TargetLatency = c.id, c.o.s.Service, c.route.Priority, c.route.Target()
 	c.info.RemainingWait = c.maxQueueWait(e)
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -179,7 +179,7 @@
 		return
 	}
 	c.version = snapshot.Version
-	c.route = snapshot.Table.Find(r.Method, r.Host, r.URL.Path)
+	c.route = snapshot.Table.Find(r.Method, r.Host, resource.RoutingPath(r.URL))
 	if c.route == nil || r.Method == http.MethodConnect {
 		c.respondError(http.StatusNotFound, verdict.NotRun, "no route matches the request")
 		return
@@ -236,15 +236,19 @@
 	c.deadline = c.startedAt.Add(timeout)
 }
 
-// prepare sets the idempotency key and reads the part of the body that is kept for retries.
+// prepare sets the URL of the dispatches and the idempotency key, and reads the part of the body that is
+// kept for retries.
 func (c *call) prepare() error {
+	var err error
+	if c.url, err = httpcall.ForwardedURL(c.r.URL); err != nil {
+		return err
+	}
 	if keys := c.r.Header[httpcall.HeaderIdempotencyKey]; len(keys) > 0 && !isIdempotent(c.r.Method, false) {
 		if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
 			return errors.Newf("%s must have exactly one value of 1 to %d bytes", httpcall.HeaderIdempotencyKey, maxKeyBytes)
 		}
 		c.key = strings.Clone(keys[0])
 	}
-	var err error
 	c.body, err = httpcall.ReadBody(c.w, c.r, c.deadline)
 	return err
 }
