session: every instance is tried before one is tried again

Cause: a node remembered only the last instance that had failed. Two instances that accept connections and refuse sessions, or answer a hello and no ping, took turns, and a third one was never tried. The pause after refusals grew up to 5 s. Change: the order of the last failures decides, and is cleared by the first answer to a ping; the pause is 1 s at most. Measured: TestEveryInstanceIsTriedAfterRefusals failed before (no session in 3 s), as did TestPauseAfterRefusalsIsShort (4.5 s); both pass 2 of 2 with the rest of the package.

--- a/plugin/session/choose.go
+++ b/plugin/session/choose.go
@@ -32,25 +32,37 @@
 	return append(append(ordered, others...), last...), homeCount
 }
 
-// chooseInstance returns the instance for a connection attempt; attempt is the number of failed
-// attempts before it. Successive attempts try the instances in order and then start again with the
-// first one. In the first pass over the list, the instance named lastName comes last, because it has
-// just failed or refused the session; lastName is empty if there is none.
-func chooseInstance(instances []instance, attempt int, lastName string) instance {
-	if attempt >= len(instances) || lastName == "" {
-		return instances[attempt%len(instances)]
+// failureOrder records the order of the last failures of instances: of connection attempts, and of
+// connections that ended. It is cleared once an instance answers in a session. The zero value is ready to
+// use.
+type failureOrder struct {
+	count  uint64
+	byName map[string]uint64
+}
+
+// record records a failure of the named instance.
+func (o *failureOrder) record(name string) {
+	if o.byName == nil {
+		o.byName = map[string]uint64{}
 	}
-	n := 0
-	for _, m := range instances {
-		if m.name == lastName {
-			continue
-		}
-		if n == attempt {
-			return m
+	o.count++
+	o.byName[name] = o.count
+}
+
+// clear forgets all failures.
+func (o *failureOrder) clear() { clear(o.byName) }
+
+// chooseInstance returns the instance for the next connection attempt: the first one without a failure,
+// else the one whose last failure is the longest ago. So each instance is tried before one is tried
+// again. instances must not be empty.
+func chooseInstance(instances []instance, failures *failureOrder) instance {
+	best := instances[0]
+	for _, m := range instances[1:] {
+		if failures.byName[m.name] < failures.byName[best.name] {
+			best = m
 		}
-		n++
 	}
-	return instances[attempt%len(instances)]
+	return best
 }
 
 // betterInstances returns the instances that a node prefers to its current one. If the current
--- a/plugin/session/fleet_test.go
+++ b/plugin/session/fleet_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/rpc"
 	"github.com/celeryyard/celeryyard/kernel"
@@ -23,6 +25,8 @@
 	isolated    atomic.Bool
 	unreachable []string
 	stop        func()
+	// refuses makes the instance answer each hello with an error.
+	refuses atomic.Bool
 	// onHello, if not nil, is called with the connection after the answer to a hello that opens a session.
 	onHello func(c *rpc.Conn)
 }
@@ -36,6 +40,10 @@
 		New: func(c *kernel.Context) (kernel.Plugin, error) {
 			p, f := kernel.MustFind[*peer.Peer](c, "peer"), &fakeInstance{}
 			p.Handle(peerapi.NodeHello, func(conn *rpc.Conn, r *rpc.Request) {
+				if f.refuses.Load() {
+					r.ReplyError(rpc.CodeFailed, errors.New("refused"))
+					return
+				}
 				r.Reply(&peerapi.HelloReply{Instance: c.Instance.Name, Isolated: f.isolated.Load(), Unreachable: f.unreachable})
 				if f.onHello != nil {
 					f.onHello(conn)
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -55,6 +55,9 @@
 		if r.Unreachable != nil && !r.Isolated {
 			s.recordUnreachable(*r.Unreachable)
 		}
+		s.mu.Lock()
+		s.failures.clear()
+		s.mu.Unlock()
 		s.recordIsolation(c, r.Isolated)
 	})
 }
@@ -165,7 +168,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if m.moved {
-		return chooseInstance(s.instances, attempt, s.lastInstance).address
+		return s.chooseNext(attempt).address
 	}
 	m.triedCount++
 	return m.targets[(m.triedCount-1)%len(m.targets)].address
--- a/plugin/session/move_test.go
+++ b/plugin/session/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,6 +66,46 @@
 	}
 }
 
+// Guards against a node that returns to the same two instances, which accept connections and refuse
+// sessions, and never tries the third.
+func TestEveryInstanceIsTriedAfterRefusals(t *testing.T) {
+	s, instances := startFleet(t, []string{"z", "y", "y"}, 0, `{"ping_interval": "50ms"}`)
+	if at := attachedTo(s); at != "control-0" {
+		t.Fatalf("node is attached to %q, not to the instance of its zone", at)
+	}
+	s.mu.Lock()
+	order := slices.Clone(s.instances) // the order in which they are tried
+	s.mu.Unlock()
+	for _, i := range order[:2] {
+		instances[i.name[len(i.name)-1]-'0'].refuses.Store(true)
+	}
+	s.mu.Lock()
+	c := s.conn
+	s.mu.Unlock()
+	c.Close()
+	lostAt := time.Now()
+	for attachedTo(s) != order[2].name {
+		if time.Since(lostAt) > maxReattachTime {
+			t.Fatalf("node has no session %v after two of three instances began to refuse it", maxReattachTime)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against a node that waits for longer than a change may take before it asks for a session again.
+func TestPauseAfterRefusalsIsShort(t *testing.T) {
+	s, _ := startFleet(t, []string{"z"}, 0, `{}`)
+	s.mu.Lock()
+	s.consecutiveRefusals = 30
+	s.mu.Unlock()
+	started := time.Now()
+	s.nextAddress(0)
+	const connectTime = time.Second // handshake, hello and update
+	if d := time.Since(started); d > maxReattachTime-connectTime {
+		t.Errorf("pause after refusals lasts %v", d)
+	}
+}
+
 // Guards against a node that starts while the instance of its zone is paused: the operating system
 // accepts the connection, and the node waits for the handshake instead of trying another instance.
 func TestPausedInstanceDoesNotDelayTheFirstSession(t *testing.T) {
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -34,10 +34,11 @@
 	evUpdated    = event.Declare(607, zerolog.InfoLevel, "configuration is in force")
 )
 
-// Bounds of the backoff after refused sessions.
+// Bounds of the backoff after refused sessions. A longer pause than 1 s would leave too little of the 3 s
+// in which a change is in force everywhere.
 const (
 	minPauseAfterRefusal = 100 * time.Millisecond
-	maxPauseAfterRefusal = 5 * time.Second
+	maxPauseAfterRefusal = time.Second
 )
 
 // stateKey is the job key of jobs that read or change the view: jobs with one key run in order, one
@@ -69,9 +70,10 @@
 	homeCount int
 	// unreachable names the instances that the last instance with a quorum did not reach.
 	unreachable []string
-	// lastInstance is the instance of the last connection; the next attempts try it last. It is
-	// empty while the node is attached.
-	lastInstance string
+	// failures orders the instances for the next connection. lastTried is the instance of the last
+	// attempt to connect.
+	failures  failureOrder
+	lastTried string
 	// link maintains the current connection. candidate, if it is not nil, connects to an instance
 	// to which the session may move.
 	link, candidate *peer.Link
@@ -190,7 +192,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return chooseInstance(s.instances, attempt, s.lastInstance).address
+	return s.chooseNext(attempt).address
+}
+
+// chooseNext returns the instance for the next attempt to connect; attempt is the number of attempts that
+// have failed since the last connection. mu is held.
+func (s *Session) chooseNext(attempt int) instance {
+	if attempt > 0 {
+		s.failures.record(s.lastTried)
+	}
+	next := chooseInstance(s.instances, &s.failures)
+	s.lastTried = next.name
+	return next
 }
 
 // onConnect starts the session on a connection of the link that mover created; mover is nil for the
@@ -203,7 +216,7 @@
 		c.Close()
 		return
 	}
-	s.conn, s.attached, s.isolated, s.lastInstance = c, false, false, c.Peer
+	s.conn, s.attached, s.isolated = c, false, false
 	s.mu.Unlock()
 	if s.c.TryGo(stateKey, func() { s.sendHello(c) }) != nil {
 		c.Close() // the process is overloaded; the link reconnects later
@@ -248,7 +261,7 @@
 	current := s.conn == c
 	s.attached = s.attached || current
 	if current {
-		s.lastInstance, s.consecutiveRefusals = "", 0
+		s.consecutiveRefusals = 0
 	}
 	s.mu.Unlock()
 	if !current {
@@ -266,7 +279,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.conn == c {
-		s.conn, s.attached, s.lastInstance = nil, false, c.Peer
+		s.conn, s.attached = nil, false
+		s.failures.record(c.Peer)
 	}
 }
 
