--- a/core/resource/resource.go
+++ b/core/resource/resource.go
@@ -33,7 +33,7 @@
 type Match struct {
 	// Host is compared case-insensitively and without the port.
 	Host string `json:"host,omitempty"`
-	// PathPrefix matches whole path segments.
+	// PathPrefix matches whole segments of RoutingPath.
 	PathPrefix string `json:"path_prefix,omitempty"`
 	// Methods lists HTTP methods in upper case.
 	Methods []string `json:"methods,omitempty"`
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -70,6 +70,7 @@
 // IsolatedAfter it has had no contact with the quorum, or its disk, which must hold a version before
 // it is released, has completed no write. The time before the start of the process does not count: when all instances restart
 // together, all nodes would otherwise move to another instance before the first election ends.
+// A change of the result is logged.
 func (d *Distribution) isIsolated(now time.Time) bool {
 	status := d.log.Status()
 	since := status.Confirmed
