distribution, quorum: nodes leave an instance with a slow or stalled disk in time

What callers saw (measured as a near miss): a route of an acknowledged configuration in force 1.9 s later on the nodes of one control instance, 0.2 s on all others; the bound is 2 s. Cause: an instance releases a version once its disk holds it. A disk that stalls, or completes each write slowly, was judged by isolated_after, the limit for contact with the quorum (1.2 s, and the age of the oldest pending write, which starts anew with each write). Detection, ping and pause add up to 2.375 s; a disk that needs 0.9 s a write is never noticed and releases after 2.7 s. Change: Status.WriteTime remembers slow writes for 2 to 4 s; an instance whose writes take more than a quarter of converge_within (the bound of a change, from the platform's settings) sends its nodes elsewhere. Up to three such writes precede a release, so a slower disk is either noticed or fits.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -28,6 +28,9 @@
 	Confirmed time.Time `json:"confirmed"`
 	// WritePending is how long the instance has been trying to complete a write to its disk.
 	WritePending time.Duration `json:"-"`
+	// WriteTime is the longest time that a write to the disk has taken in the last seconds; it is at
+	// least WritePending.
+	WriteTime time.Duration `json:"-"`
 	// Voters lists the names of the voting instances.
 	Voters []string `json:"voters"`
 	// Learners lists the names of the instances that receive the log and do not vote.
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -76,6 +76,8 @@
 	barrierCount    int // number of linearizable reads
 	// confirmedAt is the time of the last status call outside a partition.
 	confirmedAt time.Time
+	// writeTime is the time that each write to the disk takes.
+	writeTime time.Duration
 }
 
 func (l *fakeLog) SetStateMachine(api.StateMachine) {}
@@ -100,14 +102,25 @@
 	if !l.partitioned {
 		l.confirmedAt = l.c.Clock.Now()
 	}
-	return api.QuorumStatus{Role: "follower", Confirmed: l.confirmedAt}
+	return api.QuorumStatus{Role: "follower", Confirmed: l.confirmedAt, WriteTime: l.writeTime}
 }
 
 func (l *fakeLog) SyncReleasedVersion(v resource.Version, done func(error)) {
 	l.mu.Lock()
-	l.releasedVersion = max(l.releasedVersion, v)
+	delay := l.writeTime
 	l.mu.Unlock()
-	l.c.RunAfter(0, "fake", func() { done(nil) })
+	l.c.RunAfter(delay, "fake", func() {
+		l.mu.Lock()
+		l.releasedVersion = max(l.releasedVersion, v)
+		l.mu.Unlock()
+		done(nil)
+	})
+}
+
+func (l *fakeLog) setWriteTime(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writeTime = d
 }
 
 func (l *fakeLog) setPartitioned(partitioned bool) {
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -66,10 +66,10 @@
 	return out
 }
 
-// isIsolated reports whether this instance cannot bring its nodes up to date: for longer than
-// IsolatedAfter it has had no contact with the quorum, or its disk, which must hold a version before
-// it is released, has completed no write. The time before the start of the process does not count: when all instances restart
-// together, all nodes would otherwise move to another instance before the first election ends.
+// isIsolated reports whether this instance cannot bring its nodes up to date in time: it has had no contact
+// with the quorum for longer than IsolatedAfter, or its disk, which must hold a version before it is
+// released, takes longer than MaxWriteTime for a write. The time before the start of the process does not count: when all
+// instances restart together, all nodes would otherwise move to another instance before the first election ends.
 // A change of the result is logged.
 func (d *Distribution) isIsolated(now time.Time) bool {
 	status := d.log.Status()
@@ -78,10 +78,10 @@
 		since = d.startedAt
 	}
 	age := now.Sub(since)
-	isolated := max(age, status.WritePending) > d.s.IsolatedAfter.AsDuration()
+	isolated := age > d.s.IsolatedAfter.AsDuration() || status.WriteTime > d.s.MaxWriteTime()
 	if d.loggedIsolated.Swap(isolated) != isolated {
 		d.c.Log.Log(evIsolated).Str("isolated", strconv.FormatBool(isolated)).Int("confirmed_age_ms", int(age.Milliseconds())).
-			Int("write_pending_ms", int(status.WritePending.Milliseconds())).Str("leader", status.Leader).Send()
+			Int("write_ms", int(status.WriteTime.Milliseconds())).Str("leader", status.Leader).Send()
 	}
 	return isolated
 }
--- a/plugin/distribution/setup.go
+++ b/plugin/distribution/setup.go
@@ -15,7 +15,7 @@
 		Settings: func() any {
 			return &Settings{
 				NodeTimeout: ms(5000), BarrierTimeout: ms(1000), BarrierRetryDelay: ms(500), AckTimeout: ms(30000),
-				ResumeRate: 500, ResumeBurst: 100, IsolatedAfter: ms(5000),
+				ResumeRate: 500, ResumeBurst: 100, IsolatedAfter: ms(5000), ConvergeWithin: ms(3000),
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newDistribution(c), nil },
@@ -48,8 +48,16 @@
 	// IsolatedAfter is the time without contact to the quorum after which the instance tells
 	// its nodes to look for another instance.
 	IsolatedAfter settings.Duration `json:"isolated_after"`
+	// ConvergeWithin is the time within which an accepted change must be in force on all nodes. An
+	// instance whose disk takes more than a quarter of it for a write tells its nodes to look for
+	// another instance.
+	ConvergeWithin settings.Duration `json:"converge_within"`
 }
 
+// MaxWriteTime returns the longest time that a write to the disk may take. Up to three writes precede the
+// release of a version: the one in progress, the log entry, and the released version.
+func (s *Settings) MaxWriteTime() time.Duration { return s.ConvergeWithin.AsDuration() / 4 }
+
 // Validate implements settings.Validator.
 func (s *Settings) Validate() error {
 	switch {
@@ -63,6 +71,8 @@
 		return settings.FieldErrorf("ack_timeout", "must be positive")
 	case s.IsolatedAfter <= 0:
 		return settings.FieldErrorf("isolated_after", "must be positive")
+	case s.ConvergeWithin <= 0:
+		return settings.FieldErrorf("converge_within", "must be positive")
 	case s.ResumeRate <= 0:
 		return settings.FieldErrorf("resume_rate", "must be positive")
 	case s.ResumeBurst < 1:
--- a/plugin/quorum/disk.go
+++ b/plugin/quorum/disk.go
@@ -29,6 +29,7 @@
 	// pendingSince is the time at which the oldest unfinished write was first tried; 0 if none is
 	// pending.
 	pendingSince raft.Instant
+	writeTimes   writeTimes
 	// full is set while writes fail because the disk is full. They are tried again at retryAt.
 	full    bool
 	retryAt raft.Instant
@@ -183,6 +184,7 @@
 // SyncReleasedVersion, and returns the messages to send; mu is held. After an error it
 // returns none, because they depend on the write, and the process ends.
 func (q *Quorum) finishWrite(work *diskQueue, err error) map[string]*stepMessage {
+	q.disk.writeTimes.record(q.now(), time.Duration(q.now()-q.disk.pendingSince))
 	q.disk.running, q.disk.commit, q.disk.pendingSince = false, work.commit, 0
 	if err == nil {
 		q.endDiskFull()
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -328,6 +328,7 @@
 	if q.disk.pendingSince != 0 {
 		s.WritePending = time.Duration(q.now() - q.disk.pendingSince)
 	}
+	s.WriteTime = max(s.WritePending, q.disk.writeTimes.longest(q.now()))
 	config := q.core.CommittedConfig()
 	for _, m := range config.Members {
 		if m.Voter {
