session: attempts to leave an isolated instance back off

Cause: since each pong of an isolated instance starts an attempt, which asks all other instances on new connections. While all are isolated, for as long as an election takes, each node opens a connection to each instance about once a ping interval. Change: the pause doubles with each failed attempt, up to 400 ms on average (the time to find an instance that has recovered stays within the 3 s of a change), and an attempt ends after three refusals; the next one begins with other instances.

--- a/plugin/session/choose.go
+++ b/plugin/session/choose.go
@@ -91,14 +91,40 @@
 	return mean/2 + time.Duration(rng.Int64N(int64(mean)+1))
 }
 
+// maxMeanLeavePause bounds the mean pause between attempts to leave an instance that has lost the quorum. A
+// longer one would leave too little of the 3 s in which a change is in force everywhere, once another
+// instance suits.
+const maxMeanLeavePause = 400 * time.Millisecond
+
 // meanLeavePause returns the mean pause before an attempt to leave an instance that has lost the
-// quorum. With half a ping interval, the attempts of an instance's nodes are as far apart as their
-// pings.
-func (s *Settings) meanLeavePause() time.Duration { return s.PingInterval.AsDuration() / 2 }
+// quorum, after the given number of failed attempts. With half a ping interval, the first attempts of an
+// instance's nodes are as far apart as their pings; each further pause is twice as long, up to
+// maxMeanLeavePause.
+func (s *Settings) meanLeavePause(failures int) time.Duration {
+	mean := s.PingInterval.AsDuration() / 2
+	for ; failures > 0 && mean < maxMeanLeavePause; failures-- {
+		mean = min(2*mean, maxMeanLeavePause)
+	}
+	return mean
+}
+
+// maxRefusalsPerMove bounds the instances that one attempt to move asks in vain. Nodes that ask all instances
+// while all are isolated would flood them with connections.
+const maxRefusalsPerMove = 3
+
+// leaveTargets returns the candidates in the order in which an attempt to leave asks them after the given
+// number of failed attempts: successive attempts begin with different ones.
+func leaveTargets(candidates []instance, failures int) []instance {
+	if len(candidates) <= maxRefusalsPerMove {
+		return candidates
+	}
+	first := failures * maxRefusalsPerMove % len(candidates)
+	return slices.Concat(candidates[first:], candidates[:first])
+}
 
 // MaxTimeToLeave returns the longest time from the moment at which an instance detects that it has
 // lost the quorum until all its nodes have tried to leave it: one ping interval and the longest
 // pause.
 func (s *Settings) MaxTimeToLeave() time.Duration {
-	return s.PingInterval.AsDuration() + s.meanLeavePause()*3/2
+	return s.PingInterval.AsDuration() + s.meanLeavePause(0)*3/2
 }
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -75,9 +75,10 @@
 }
 
 // recordIsolation records whether the instance of the connection c reaches the quorum. While it does
-// not, the node tries to move to another instance, each time after a short random pause, so that the
+// not, the node tries to move to another instance, each time after a random pause, so that the
 // nodes of the instance do not move all at once. An attempt can fail because all instances are
-// isolated during an election, so each report schedules one unless one is scheduled or in progress.
+// isolated during an election, so each report schedules one unless one is scheduled or in progress. The pause
+// grows with each failed attempt.
 // recordIsolation does nothing if c is no longer the session's connection.
 func (s *Session) recordIsolation(c *rpc.Conn, isolated bool) {
 	s.mu.Lock()
@@ -86,11 +87,15 @@
 		return
 	}
 	s.isolated = isolated
+	if !isolated {
+		s.failedLeaves = 0
+	}
+	pause := s.s.meanLeavePause(s.failedLeaves)
 	schedule := isolated && !s.leaveScheduled && s.candidate == nil
 	s.leaveScheduled = s.leaveScheduled || schedule
 	s.mu.Unlock()
 	if schedule {
-		s.c.RunAfter(randomMovePause(s.s.meanLeavePause(), s.c.NewRand()), "session/move", s.leaveIsolated)
+		s.c.RunAfter(randomMovePause(pause, s.c.NewRand()), "session/move", s.leaveIsolated)
 	}
 }
 
@@ -122,6 +127,9 @@
 	var targets []instance
 	if s.attached {
 		targets = betterInstances(s.instances, s.homeCount, s.conn.Peer, s.isolated)
+		if s.isolated {
+			targets = leaveTargets(targets, s.failedLeaves)
+		}
 	}
 	previous := s.candidate
 	s.candidate = nil
@@ -155,8 +163,11 @@
 	s          *Session
 	targets    []instance
 	triedCount int
-	moved      bool
-	// exhausted is set when all targets have been tried and none was suitable.
+	// refusedCount counts the targets that were asked and do not suit.
+	refusedCount int
+	moved        bool
+	// exhausted is set when all targets have been tried, or maxRefusalsPerMove of them have been asked,
+	// and none was suitable.
 	exhausted bool
 	link      *peer.Link
 }
@@ -200,19 +211,22 @@
 	})
 }
 
-// handleRefusal ends the attempt once all targets have been tried; otherwise the link continues
-// with the next target.
+// handleRefusal ends the attempt once it is exhausted; otherwise the link continues with the next target.
 func (m *moveAttempt) handleRefusal() {
 	s := m.s
 	s.mu.Lock()
-	m.exhausted = m.triedCount >= len(m.targets)
-	exhausted, link := m.exhausted, m.link
+	m.refusedCount++
+	m.exhausted = m.triedCount >= len(m.targets) || m.refusedCount >= maxRefusalsPerMove
+	exhausted, asked, link := m.exhausted, m.refusedCount, m.link
 	if exhausted && s.candidate == link {
 		s.candidate = nil
 	}
 	reason, current := "zone", ""
 	if s.isolated {
 		reason = "isolated"
+		if exhausted {
+			s.failedLeaves++
+		}
 	}
 	if s.conn != nil {
 		current = s.conn.Peer
@@ -221,7 +235,7 @@
 	if !exhausted {
 		return
 	}
-	s.c.Log.Log(evNotMoved).Str("process", current).Str("reason", reason).Int("asked", len(m.targets)).Send()
+	s.c.Log.Log(evNotMoved).Str("process", current).Str("reason", reason).Int("asked", asked).Send()
 	if link != nil {
 		link.Close()
 	}
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -84,6 +84,9 @@
 	// isolated is set while the current instance does not reach the quorum. leaveScheduled is set
 	// while an attempt to leave it is scheduled.
 	isolated, leaveScheduled bool
+	// failedLeaves counts the attempts to leave an isolated instance that found none that suits. It is reset
+	// once the current instance reaches the quorum.
+	failedLeaves int
 	// consecutiveRefusals counts the refused sessions since the last one that started.
 	consecutiveRefusals int
 
