core/rpc: TestSlowPeerIsDisconnected bounds the sender, not the encoding

Change: the message is encoded once and the bound of 30 s holds for sending alone, which is stricter; a notification after the overflow must fail as well.

--- a/core/rpc/rpc_test.go
+++ b/core/rpc/rpc_test.go
@@ -65,10 +65,17 @@
 		t.Fatal(err)
 	}
 	c := <-opened
-	big := newIncompressibleBytes(1 << 20)
+	// Encoded once, so that the bound counts only the time for which the sender is blocked.
+	big, err := NewMessage("m", newIncompressibleBytes(1<<20))
+	if err != nil {
+		t.Fatal(err)
+	}
 	start := time.Now()
 	for i := 0; i < 200; i++ {
-		if err := c.Notify("m", big); err != nil {
+		if err := c.Send(big); err != nil {
+			if err := c.Notify("m", 1); err == nil {
+				t.Error("a notification is accepted after the queue overflowed")
+			}
 			if d := time.Since(start); d > 30*time.Second {
 				t.Fatalf("sender was blocked for %v", d)
 			}
