quorum: a proposal is made again once its leader is known not to have appended it

What callers see: a change is answered 'may have run' although a majority is there, because the leader stopped before its response arrived; the operator must send it again. Cause: without a response the proposer knew nothing of the entry, and gave up after two election timeouts (1.2 s), while an election of four of four remaining voters may take longer.

--- a/plugin/quorum/apply.go
+++ b/plugin/quorum/apply.go
@@ -58,6 +58,7 @@
 	for i := range entries {
 		q.proposals.finishApplied(&entries[i], results[i], q.afterUnlock)
 	}
+	q.requeueUnappended()
 	q.completeBarriers(last)
 	q.appliedBytes += uint64(bytes)
 	due := q.isSnapshotDue(last)
--- a/plugin/quorum/barrier.go
+++ b/plugin/quorum/barrier.go
@@ -190,6 +190,11 @@
 	}
 	q.nextExpiry = now + raft.Instant(tickInterval)
 	q.proposals.expire(now, false, q.afterUnlock)
+	leaderTerm := uint64(0)
+	if q.core.Leader() != 0 {
+		leaderTerm = q.core.Term()
+	}
+	q.proposals.giveUpUnanswered(now, leaderTerm, q.afterUnlock)
 	q.barriers.queue = q.expireBarriers(q.barriers.queue, now)
 	q.barriers.indexed = q.expireBarriers(q.barriers.indexed, now)
 	for _, g := range q.barriers.groups {
--- a/plugin/quorum/faults_test.go
+++ b/plugin/quorum/faults_test.go
@@ -168,8 +168,11 @@
 		n.proposals.expire(1<<62, true, func(f func()) { f() })
 		return text
 	}
-	p.mayBeAppended = true
-	index, term, err := leader.core.Propose(s.localTime(leader), p.data)
+	p.mayBeAppended, p.forwardTerm = true, n.core.Term()
+	index, term, err := uint64(0), uint64(0), raft.ErrNotLeader
+	if leader.core.Term() == p.forwardTerm {
+		index, term, err = leader.core.Propose(s.localTime(leader), p.data)
+	}
 	if err != nil {
 		p.mayBeAppended = false
 		n.proposals.expire(1<<62, true, func(f func()) { f() })
@@ -177,6 +180,8 @@
 	}
 	if s.rng.IntN(5) > 0 { // otherwise the leader's response is lost
 		n.proposals.setPosition(p, index, term)
+	} else {
+		n.proposals.addUnanswered(p)
 	}
 	leader.core.Flush(s.localTime(leader))
 	s.handleReady(leader)
--- a/plugin/quorum/propose.go
+++ b/plugin/quorum/propose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,13 @@
 	// mayBeAppended is true if a leader may have appended the entry. While it is set, the
 	// proposal is not sent again, and it expires with the verdict MayHaveRun.
 	mayBeAppended bool
+	// forwardTerm is the term of the leader to which the proposal was forwarded last.
+	forwardTerm uint64
+	// mayBeSkipped is set if a snapshot may have replaced the entry since it was forwarded.
+	mayBeSkipped bool
+	// giveUpAt is the time from which the proposal is given up while the leader of forwardTerm still
+	// leads; 0 unless the leader's response was lost.
+	giveUpAt raft.Instant
 	// index and term are the position of the entry in the log. They are 0 until the leader
 	// has returned them.
 	index, term uint64
@@ -65,6 +73,10 @@
 	pending    map[uint64]*proposal   // by number
 	byIndex    map[uint64][]*proposal // by index in the log, once that is known
 	queue      []*proposal            // not yet passed to a leader
+	// unanswered holds the forwarded proposals whose responses were lost.
+	unanswered []*proposal
+	// appliedTerm is the term of the last applied entry.
+	appliedTerm uint64
 }
 
 func (t *proposalTable) init(origin uint64) {
@@ -117,6 +129,7 @@
 // finishApplied completes the proposal of an applied entry. It fails proposals that were
 // appended at the same index in a different term, because they can never be applied.
 func (t *proposalTable) finishApplied(e *replog.Entry, result any, call func(func())) {
+	t.appliedTerm = e.Term
 	if e.Kind == replog.KindData && len(e.Data) >= headerBytes && binary.BigEndian.Uint64(e.Data) == t.origin {
 		if p := t.pending[binary.BigEndian.Uint64(e.Data[8:])]; p != nil {
 			t.finish(p, result, nil, call)
@@ -132,6 +145,10 @@
 // finishSkipped fails the proposals at or below snapshotIndex, whose entries were replaced by
 // a snapshot. This instance can't tell whether they were applied.
 func (t *proposalTable) finishSkipped(snapshotIndex uint64, call func(func())) {
+	for _, p := range t.pending {
+		p.mayBeSkipped = p.mayBeSkipped || p.mayBeAppended && p.index == 0
+	}
+	t.unanswered = nil
 	for index, list := range t.byIndex {
 		if index > snapshotIndex {
 			continue
@@ -142,6 +159,44 @@
 	}
 }
 
+// addUnanswered records that the response to a forwarded proposal was lost.
+func (t *proposalTable) addUnanswered(p *proposal) {
+	if t.pending[p.number] == p && !p.mayBeSkipped {
+		t.unanswered = append(t.unanswered, p)
+	}
+}
+
+// takeUnappended removes and returns the pending proposals that no leader can append any more although
+// their responses were lost. A leader appends a forwarded proposal only in the term for which it was
+// sent. The terms in a log never fall, so behind an applied entry of a later term the entry cannot
+// follow.
+func (t *proposalTable) takeUnappended() []*proposal {
+	var out []*proposal
+	kept := t.unanswered[:0]
+	for _, p := range t.unanswered {
+		switch {
+		case t.pending[p.number] != p: // complete
+		case p.forwardTerm < t.appliedTerm:
+			out = append(out, p)
+		default:
+			kept = append(kept, p)
+		}
+	}
+	clear(t.unanswered[len(kept):])
+	t.unanswered = kept
+	return out
+}
+
+// giveUpUnanswered fails the proposals whose responses were lost and whose leader still leads when they
+// ought to have been applied. leaderTerm is the term of the current leader; 0 if none is known.
+func (t *proposalTable) giveUpUnanswered(now raft.Instant, leaderTerm uint64, call func(func())) {
+	for _, p := range slices.Clone(t.unanswered) {
+		if p.forwardTerm == leaderTerm && now >= p.giveUpAt {
+			t.finish(p, nil, verdict.Wrap(verdict.MayHaveRun, errTimeout), call)
+		}
+	}
+}
+
 // expire fails the proposals whose deadline has passed, or all proposals if all is set.
 func (t *proposalTable) expire(now raft.Instant, all bool, call func(func())) {
 	for _, p := range t.pending {
@@ -213,7 +268,8 @@
 		q.proposals.queue = append(q.proposals.queue, p)
 		return
 	}
-	p.mayBeAppended = true
+	p.mayBeAppended, p.forwardTerm = true, q.core.Term()
+	term := p.forwardTerm
 	timeout := time.Duration(p.deadline - q.now())
 	q.metrics.forwarded.Inc()
 	q.afterUnlock(func() {
@@ -223,7 +279,7 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		c.CallAsync(ctx, "quorum.propose", proposeRequest{Data: p.data}, func(raw []byte, err error) {
+		c.CallAsync(ctx, "quorum.propose", proposeRequest{Data: p.data, Term: term}, func(raw []byte, err error) {
 			cancel()
 			q.submit(func(raft.Instant) { q.handleForwarded(p, raw, err) })
 		})
@@ -232,13 +288,21 @@
 
 // requeue queues a proposal for another attempt. No leader may have appended it; mu is held.
 func (q *Quorum) requeue(p *proposal) {
-	p.mayBeAppended = false
+	p.mayBeAppended, p.mayBeSkipped, p.giveUpAt = false, false, 0
 	p.retryAt = q.now() + leaderRetryDelay
 	if q.proposals.pending[p.number] == p {
 		q.proposals.queue = append(q.proposals.queue, p)
 	}
 }
 
+// requeueUnappended queues the proposals whose responses were lost and that turned out not to have been
+// appended; mu is held.
+func (q *Quorum) requeueUnappended() {
+	for _, p := range q.proposals.takeUnappended() {
+		q.requeue(p)
+	}
+}
+
 // handleForwarded handles the leader's response to a forwarded proposal; mu is held.
 func (q *Quorum) handleForwarded(p *proposal, raw []byte, err error) {
 	var resp proposeResponse
@@ -250,10 +314,11 @@
 		q.proposals.finish(p, nil, verdict.Wrap(verdict.NotRun, errOverloaded), q.afterUnlock)
 		return
 	case err != nil:
-		// The leader may or may not have appended the entry. If the entry isn't applied
-		// within about the time of an election, the outcome may stay unknown for long, so the
-		// proposal expires early.
-		p.deadline = min(p.deadline, q.now()+2*raft.Instant(q.s.ElectionTimeout.AsDuration()))
+		// The leader may or may not have appended the entry. If it has stopped, an entry of the next
+		// leader tells. If it still leads, nothing may tell.
+		p.giveUpAt = q.now() + 2*raft.Instant(q.s.ElectionTimeout.AsDuration())
+		q.proposals.addUnanswered(p)
+		q.requeueUnappended()
 		return
 	case json.Unmarshal(raw, &resp) != nil || resp.Index == 0:
 		return
@@ -276,7 +341,10 @@
 		return
 	}
 	q.submit(func(now raft.Instant) {
-		index, term, err := q.core.Propose(now, m.Data)
+		index, term, err := uint64(0), uint64(0), raft.ErrNotLeader
+		if m.Term == 0 || m.Term == q.core.Term() {
+			index, term, err = q.core.Propose(now, m.Data)
+		}
 		q.afterUnlock(func() {
 			switch {
 			case err == nil:
--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
 
@@ -97,6 +98,7 @@
 	leaders        map[uint64]replog.MemberID // leader of each term
 	commitHistory  []commitPoint              // each rise of the highest commit index
 	textCount      int
+	resolvedCount  int // proposals whose response was lost and that turned out not to have been appended
 }
 
 type commitPoint struct {
@@ -259,6 +261,12 @@
 		n.core.ReportApplied(e.Index)
 		n.proposals.finishApplied(e, nil, call)
 	}
+	// A proposal that is reported as not executed must never be applied, so the simulation need not
+	// propose it again to find a wrong decision.
+	for _, p := range n.proposals.takeUnappended() {
+		s.resolvedCount++
+		n.proposals.finish(p, nil, verdict.Wrap(verdict.NotRun, errReplaced), call)
+	}
 	return len(entries) > 0
 }
 
--- a/plugin/quorum/wire.go
+++ b/plugin/quorum/wire.go
@@ -72,6 +72,9 @@
 // proposeRequest forwards a proposal to the leader.
 type proposeRequest struct {
 	Data []byte `json:"d"` // including the header of headerBytes bytes
+	// Term is the term in which the receiver is thought to lead. The receiver refuses the proposal in
+	// any other term, however late it arrives. 0 means any term; earlier versions send none.
+	Term uint64 `json:"t,omitzero"`
 }
 
 // proposeResponse is the position of the appended entry.
