lineage, outbound, inbound: calls made by repeats draw on the retry budget

Cause: a request that runs again makes its calls again. The node beside the endpoint counted those as first calls, which even raised the budget of the called service; a fixed margin of a fifth was all that was left for them. Change: the plug-in lineage knows which requests the upstream runs and which of them are repeats (a header between nodes). Calls whose IDs name such a request count as retries, and are marked as repeats in turn; a repeat is rejected, as not run, when its node has no retries left for the clusters that the upstream calls.

--- a/core/httpcall/auth.go
+++ b/core/httpcall/auth.go
@@ -43,6 +43,9 @@
 	ReasonKeyConflict         = "key-conflict"
 	// ReasonWaitTooLong means that the call waited in the queue for too long, or would have.
 	ReasonWaitTooLong = "wait-too-long"
+	// ReasonRetryBudget means that the call is a repeat and that the retry budgets do not permit the calls
+	// that the upstream would make for it.
+	ReasonRetryBudget = "retry-budget"
 	// ReasonUpstreamRejected means that the upstream itself refused the call and stated that it did
 	// not run it. It is the only reason that applies to a call that has reached the upstream.
 	ReasonUpstreamRejected = "upstream-rejected"
--- a/core/httpcall/headers.go
+++ b/core/httpcall/headers.go
@@ -41,6 +41,9 @@
 	// that node; see NodeLoad.
 	HeaderLoad = "Celeryyard-Load"
 
+	// HeaderRepeat marks a call that may have run before, or that is made by the repeat of one.
+	HeaderRepeat = "Celeryyard-Repeat"
+
 	// headerCall holds an encoded Call.
 	headerCall = "Celeryyard-Call"
 	// headerHello holds the nonce of the client in the handshake. In the answer it holds the nonce of
--- a/kernel/rank/rank.go
+++ b/kernel/rank/rank.go
@@ -29,6 +29,7 @@
 	Routing      Rank = 110
 	Balancer     Rank = 120
 	Admission    Rank = 130
+	Lineage      Rank = 135
 	Idempotency  Rank = 140
 	Load         Rank = 150
 	Pool         Rank = 200
@@ -38,7 +39,7 @@
 var rankNames = map[Rank]string{
 	Kernel: "kernel", Peer: "peer", Session: "session", Quorum: "quorum", Journal: "journal",
 	Catalog: "catalog", Discovery: "discovery", Distribution: "distribution", Capacity: "capacity", View: "view",
-	Announce: "announce", Routing: "routing", Balancer: "balancer", Admission: "admission",
+	Announce: "announce", Routing: "routing", Balancer: "balancer", Admission: "admission", Lineage: "lineage",
 	Idempotency: "idempotency", Load: "load", Pool: "pool", Events: "events",
 }
 
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -232,6 +232,15 @@
 		c.failure = httpcall.NewFailure(httpcall.KindTimeout, verdict.NotRun, errors.New("call was cancelled or expired in the queue"))
 		return nil
 	}
+	if c.in.lineage != nil && c.info.ID != "" {
+		isRepeat := c.r.Header.Get(httpcall.HeaderRepeat) != ""
+		if isRepeat && !c.in.lineage.MayRepeat(begin) {
+			c.failure = newRejection(httpcall.ReasonRetryBudget, errors.New("no retries are left for the calls of the upstream"))
+			return nil
+		}
+		execution := c.in.lineage.Begin(c.info.ID, isRepeat)
+		defer c.in.lineage.End(execution)
+	}
 	if c.in.announce.IsUpstreamClosed() {
 		c.failure = newRejection(httpcall.ReasonLeaving, errors.New("upstream started to leave while the call was queued"))
 		return nil
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -25,6 +25,7 @@
 	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
 	"github.com/celeryyard/celeryyard/plugin/idempotency"
+	"github.com/celeryyard/celeryyard/plugin/lineage"
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/session"
 )
@@ -58,6 +59,7 @@
 	announce     api.Announcer
 	claims       *idempotency.Idempotency
 	dialect      dialect.Dialect
+	lineage      *lineage.Lineage // nil without that plug-in
 	acceptor     *httpcall.Acceptor
 	client       *httpcall.Client
 	server       *http.Server
@@ -96,6 +98,9 @@
 	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
 		in.dialect = d
 	}
+	if l, ok := kernel.Find[*lineage.Lineage](c, "lineage"); ok {
+		in.lineage = l
+	}
 	in.announce.OnLeave(in.leave)
 	if s, ok := kernel.Find[*session.Session](c, "session"); ok {
 		s.SetLoadReporter(in.loadReport)
--- a/plugin/outbound/budget.go
+++ b/plugin/outbound/budget.go
@@ -7,8 +7,8 @@
 const budgetBuckets = 10
 
 // budgetUseFraction is the fraction of the permitted retries that nodes use. The rest is a margin
-// for two effects: some nodes see a different fleet size, and the calls that an upstream makes
-// while it runs a retry count as retries at the services that it calls.
+// for two effects: some nodes see a different fleet size, and repeats that run at the same time make calls
+// after the budgets of the called clusters were asked.
 const budgetUseFraction = 0.8
 
 // Allowance bounds the retries of one cluster over a sliding window.
@@ -51,17 +51,28 @@
 	b.calls[b.newestBucket%(budgetBuckets+1)]++
 }
 
-// takeRetry counts one retry and returns true if the allowance permits it.
-func (b *retryBudget) takeRetry(a Allowance, now time.Time) bool {
+// addRetry counts one retry, whether or not the allowance permits it.
+func (b *retryBudget) addRetry(a Allowance, now time.Time) {
+	b.advance(a, now)
+	b.retries[b.newestBucket%(budgetBuckets+1)]++
+}
+
+// hasRoom reports whether the allowance permits one more retry.
+func (b *retryBudget) hasRoom(a Allowance, now time.Time) bool {
 	b.advance(a, now)
 	calls, retries := 0, 0
 	for i := range b.calls {
 		calls += b.calls[i]
 		retries += b.retries[i]
 	}
-	if float64(retries+1) > a.MinRetries+a.Ratio*float64(calls) {
+	return float64(retries+1) <= a.MinRetries+a.Ratio*float64(calls)
+}
+
+// takeRetry counts one retry and returns true if the allowance permits it.
+func (b *retryBudget) takeRetry(a Allowance, now time.Time) bool {
+	if !b.hasRoom(a, now) {
 		return false
 	}
-	b.retries[b.newestBucket%(budgetBuckets+1)]++
+	b.addRetry(a, now)
 	return true
 }
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -39,6 +39,8 @@
 	offers, arrivals int
 	// lastNode is the node of the last dispatch.
 	lastNode string
+	// isRepeat means that the call is made by the repeat of a request.
+	isRepeat bool
 	// mayHaveRun is set once an attempt may have run. It stays set even if a later attempt is
 	// known not to have run.
 	mayHaveRun bool
@@ -53,13 +55,20 @@
 	tried [resource.MaxAttempts + maxOffers]*endpoint
 }
 
+// repeatHeaderValue is shared by all requests, to avoid allocations.
+var repeatHeaderValue = []string{"1"}
+
 var errNoEndpoint = errors.New("no endpoint of the service is available and has free capacity")
 
 // run dispatches the call until it is answered. It is executed by a worker.
 func (c *call) run() {
 	now := time.Now()
 	c.o.queueTime.Update(now.Sub(c.queuedAt).Seconds())
-	c.o.table.countCall(c.cluster, now)
+	if c.isRepeat {
+		c.o.table.countRepeatedCall(c.cluster, now)
+	} else {
+		c.o.table.countCall(c.cluster, now)
+	}
 	tried := c.tried[:0]
 	if hasTooLittleTime(c.deadline.Sub(now), c.o.routeStats.meanDuration(c.route.Name)) {
 		c.respondFailure(httpcall.NewFailure(httpcall.KindUnreachable, verdict.NotRun, errTooLittleTime))
@@ -140,6 +149,9 @@
 	header := make(http.Header, len(c.r.Header)+4)
 	httpcall.ForwardHeaders(header, c.r.Header)
 	c.o.dialect.StripHeaders(header)
+	if c.isRepeat || c.arrivals > 0 {
+		header[httpcall.HeaderRepeat] = repeatHeaderValue
+	}
 	c.info.Service, c.info.Organisation = c.cluster.Service, c.route.Organisation
 	c.info.ID, c.info.Caller, c.info.Priority, c.info.TargetLatency = c.id, c.o.s.Service, c.route.Priority, c.route.Target()
 	c.info.RemainingWait = c.maxQueueWait(e)
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -28,6 +28,7 @@
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
+	"github.com/celeryyard/celeryyard/plugin/lineage"
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/session"
 )
@@ -63,6 +64,8 @@
 	client     *httpcall.Client
 	pool       *pool.Pool
 	server     *httpserve.Server
+	// lineage relates calls of the upstream to the requests that it runs; nil without that plug-in.
+	lineage *lineage.Lineage
 	// started is set once client is ready. Until then applySnapshot, which the view may call before
 	// Start, must not use client.
 	started      atomic.Bool
@@ -97,6 +100,10 @@
 		o.table.minIsShared = true
 		o.table.allowance = Allowance{Ratio: o.s.RetryRatio, MinRetries: o.s.RetryAllowance, Window: o.s.RetryWindow.AsDuration()}
 	}
+	if l, ok := kernel.Find[*lineage.Lineage](c, "lineage"); ok {
+		o.lineage = l
+		l.SetRetryRoom(o.table.hasRetryRoom)
+	}
 	o.metricsByOrganisation.Store(&map[string]*callMetrics{})
 	o.view.Watch(o.applySnapshot)
 	if s, ok := kernel.Find[*session.Session](c, "session"); ok {
@@ -196,6 +203,9 @@
 		return
 	}
 	defer c.body.Release()
+	if o.lineage != nil && c.id != "" {
+		c.isRepeat = o.lineage.RecordCall(c.cluster.Name, c.id, c.startedAt)
+	}
 	c.queuedAt = time.Now()
 	err = httpcall.Run(r.Context(), o.pool, c.route.Organisation, c.deadline, c.run)
 	if err != nil {
--- a/plugin/outbound/retry.go
+++ b/plugin/outbound/retry.go
@@ -68,6 +68,8 @@
 		return OutcomeRefused
 	case httpcall.ReasonUpstreamRejected:
 		return OutcomeUpstreamRejected
+	case httpcall.ReasonRetryBudget:
+		return OutcomeNeutral
 	case httpcall.ReasonLeaving, httpcall.ReasonWrongUpstream:
 		return OutcomeLeaving
 	}
--- a/plugin/outbound/table.go
+++ b/plugin/outbound/table.go
@@ -59,6 +59,27 @@
 	t.budgetFor(c).addCall(t.allowanceFor(c), now)
 }
 
+// countRepeatedCall records a call to the cluster that is made by the repeat of a request: it counts as a
+// retry.
+func (t *table) countRepeatedCall(c *resource.Cluster, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.budgetFor(c).addRetry(t.allowanceFor(c), now)
+}
+
+// hasRetryRoom reports whether the retry budget of the named cluster permits one more retry; true if the
+// cluster does not exist any more.
+func (t *table) hasRetryRoom(cluster string, now time.Time) bool {
+	s := t.currentSnapshot()
+	if s == nil || s.Clusters[cluster] == nil {
+		return true
+	}
+	c := s.Clusters[cluster]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.budgetFor(c).hasRoom(t.allowanceFor(c), now)
+}
+
 // allowanceFor returns this node's retry allowance for a cluster. The caller holds mu.
 func (t *table) allowanceFor(c *resource.Cluster) Allowance {
 	a := t.allowance
--- a/role/node/node.go
+++ b/role/node/node.go
@@ -6,6 +6,7 @@
 	_ "github.com/celeryyard/celeryyard/plugin/announce"    // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/idempotency" // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/inbound"     // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/lineage"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/outbound"    // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/peer"        // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/session"     // registers itself
@@ -15,5 +16,5 @@
 
 // Plugins lists the plug-ins of the process beside an upstream.
 func Plugins() []string {
-	return []string{"admin", "trace", "peer", "view", "session", "announce", "outbound", "inbound", "idempotency"}
+	return []string{"admin", "trace", "peer", "view", "session", "announce", "lineage", "outbound", "inbound", "idempotency"}
 }
