httpserve, inbound, httpcall: a client that leaves while its body waits ends the call

Cause: while an upstream does not read a long body, nobody reads from the client's connection, neither at the first node nor at the node beside the upstream, where net/http reads ahead only behind a complete body. A proper close between nodes is queued behind unsent bytes. Not noticed: a proper close that is queued behind bytes which the client's own system cannot send, since none of it reaches the node.

--- a/core/httpcall/auth.go
+++ b/core/httpcall/auth.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/celeryyard/celeryyard/core/netconn"
 	"github.com/celeryyard/celeryyard/core/rpc"
 )
 
@@ -102,10 +103,15 @@
 // Session is the server side of one connection between nodes. Only the goroutine that serves
 // the connection uses it.
 type Session struct {
+	conn          net.Conn
 	auth          authState
 	authenticated bool
 }
 
+// AwaitClose waits until the other node has closed the connection, and returns true, or until done is closed,
+// and returns false. Unlike the other methods, it may be called on any goroutine.
+func (s *Session) AwaitClose(done <-chan struct{}) bool { return netconn.AwaitClose(s.conn, done, nil) }
+
 // CallHeader returns the encoded Call of a request and whether there is one. A request without a Call
 // is a message between nodes. The path does not tell calls from messages, since callers choose the
 // path of a call.
@@ -130,8 +136,8 @@
 
 // ConnContext adds a session to the context of a connection. It is the http.Server hook of
 // the same name.
-func (a *Acceptor) ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, sessionContextKey{}, &Session{auth: authState{key: a.Key}})
+func (a *Acceptor) ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, sessionContextKey{}, &Session{conn: nc, auth: authState{key: a.Key}})
 }
 
 // Accept returns the session of an authenticated request. It answers handshakes and
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/celeryyard/celeryyard/core/netconn"
 	"github.com/celeryyard/celeryyard/core/verdict"
 )
 
@@ -234,7 +235,9 @@
 	if x.unblockBody != nil {
 		x.unblockBody()
 	}
-	<-x.writeDone
+	if <-x.writeDone != nil {
+		netconn.ResetOnClose(x.conn.Conn) // the other side may not read, and would not notice a proper close
+	}
 	x.writeDone = nil
 	x.countDispatch()
 }
--- a/core/httpserve/conn.go
+++ b/core/httpserve/conn.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"github.com/celeryyard/celeryyard/core/netconn"
 )
 
 // conn is one connection. One goroutine reads requests; each request has a goroutine of its own that
@@ -217,11 +219,15 @@
 }
 
 // awaitBody waits until the body of a request was read, because the next request follows it, and
-// reports whether one may be read.
+// reports whether one may be read. If the client leaves meanwhile, the request is cancelled: its handler may
+// wait for an upstream that does not read the body.
 func (c *conn) awaitBody(r *response) bool {
 	if r.body == nil {
 		return true
 	}
+	if netconn.AwaitClose(c.nc, r.body.done, r.done) {
+		c.cancel()
+	}
 	select {
 	case <-r.body.done:
 		return true
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -121,6 +121,7 @@
 		c.in.endTransfer(counted)
 	} else {
 		defer c.in.endTransfer(counted)
+		defer c.cancelWhenCallerLeaves()()
 	}
 	if c.info.Keyed {
 		c.serveKeyed()
@@ -131,6 +132,19 @@
 	}
 }
 
+// cancelWhenCallerLeaves cancels the call when the other node closes the connection. net/http does not notice
+// that while the rest of the request body waits to be read. The returned function ends the watch.
+func (c *call) cancelWhenCallerLeaves() (end func()) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.ctx = ctx
+	go func() {
+		if c.session.AwaitClose(ctx.Done()) {
+			cancel()
+		}
+	}()
+	return cancel
+}
+
 // runInSlot runs f in a slot. It returns the reason for the rejection if the call did not
 // run.
 func (c *call) runInSlot(f func()) (reason string) {
