announce, inbound: a stranger's heartbeat takes no live upstream out of service

Cause: the latest start that claims an address gets it, whoever sends the claim; nothing takes it back. Change: while the upstream beside the node is live, a claim for a service that the configuration lacks, or by one that leaves, is ignored. Any other claim counts until a call for the new ID is answered by another upstream (421 with the ID of the call); the one before then gets the address back and the claim does not count again. Each dispatch names the upstream it is for, so nothing runs under a wrong ID meanwhile.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -174,6 +174,9 @@
 	UpstreamID() string
 	// IsUpstreamClosed reports whether the upstream no longer accepts new calls.
 	IsUpstreamClosed() bool
+	// HandleMisdirected is called when another upstream than the one with the given ID answers at its
+	// address.
+	HandleMisdirected(id string)
 	// IsDraining reports whether a planned stop has begun.
 	IsDraining() bool
 	// OnLeave sets the function that a planned stop runs before it withdraws the record: f rejects
--- a/plugin/announce/plugin.go
+++ b/plugin/announce/plugin.go
@@ -28,9 +28,10 @@
 	evLeaving     = event.Declare(704, zerolog.InfoLevel, "planned stop of the upstream began")
 	evUnconfirmed = event.Declare(705, zerolog.WarnLevel, "drain state not confirmed in time; continuing the planned stop")
 	evReport      = event.Declare(707, zerolog.InfoLevel, "upstream reported a new state")
-	evLateReport  = event.Declare(708, zerolog.InfoLevel, "outdated heartbeat of the upstream ignored")
+	evLateReport  = event.Declare(708, zerolog.InfoLevel, "heartbeat ignored: outdated, or of another upstream than the live one")
 	evSilent      = event.Declare(709, zerolog.WarnLevel, "upstream stopped sending heartbeats")
 	evLeft        = event.Declare(706, zerolog.InfoLevel, "planned stop of the upstream is complete")
+	evDisproved   = event.Declare(711, zerolog.WarnLevel, "another upstream answers at the address than the one that claimed it last")
 	evKnownClosed = event.Declare(710, zerolog.InfoLevel, "upstream has closed before this node was restarted")
 )
 
@@ -42,6 +43,7 @@
 	c       *kernel.Context
 	s       *Settings
 	session *session.Session
+	view    api.View // nil without that plug-in
 	server  *http.Server
 	client  *http.Client
 	ctx     context.Context
@@ -85,6 +87,9 @@
 		return 0
 	})
 	a.client = newProbeClient(a.s.ProbeTimeout.AsDuration())
+	if v, ok := kernel.Find[api.View](c, "view"); ok {
+		a.view = v
+	}
 	a.session.OnAttach(a.handleAttach)
 	return a
 }
--- a/plugin/announce/report.go
+++ b/plugin/announce/report.go
@@ -46,6 +46,35 @@
 	closed resource.Closure
 	// known is the latest report before a restart of the node, as far as the control instances know it.
 	known resource.UpstreamStart
+	// displaced is the last report of a live upstream whose address another one has claimed since; it has no
+	// ID if there is none.
+	displaced Report
+	// disproved is the start of an upstream that claimed the address although another one answers there.
+	disproved resource.UpstreamStart
+}
+
+// contests reports whether r claims the address of another upstream that is live: that one has sent
+// heartbeats and has neither closed nor been found silent. An address belongs to one upstream at a time.
+func (h *heartbeats) contests(r Report) bool {
+	isLive := !h.upstreamClosed && !h.lastReceivedAt.IsZero()
+	return isLive && r.ID != h.latestReport.ID
+}
+
+// disprove takes the address from the named upstream if that has claimed it from a live one. It reports whether
+// it has changed anything; the upstream before is then current again.
+func (h *heartbeats) disprove(id string, now time.Time) bool {
+	if h.latestReport.ID != id || h.displaced.ID == "" {
+		return false
+	}
+	h.disproved = h.latestReport.start()
+	h.latestReport, h.displaced = h.displaced, Report{}
+	h.upstreamClosed, h.lastReceivedAt = false, now
+	return true
+}
+
+// isDisproved reports whether r is of the start that disprove has rejected.
+func (h *heartbeats) isDisproved(r Report) bool {
+	return h.disproved.ID != "" && r.ID == h.disproved.ID && r.StartedAtMillis == h.disproved.StartedAtMillis
 }
 
 // accept records a report and returns true, or returns false if the report is outdated.
@@ -60,10 +89,20 @@
 		h.upstreamClosed, h.closed, h.lastReceivedAt = true, resource.Closure{Start: h.endedStart(r, now), Final: true}, now
 		return true
 	}
-	h.upstreamClosed = r.Draining
+	contests := h.contests(r)
 	if r.Draining {
 		h.closed = h.closed.Join(resource.Closure{Start: r.start()})
 	}
+	if contests && (r.Draining || h.isDisproved(r)) {
+		return false // an upstream that leaves claims no address
+	}
+	switch {
+	case contests:
+		h.displaced = h.latestReport
+	case r.ID != h.latestReport.ID:
+		h.displaced = Report{}
+	}
+	h.upstreamClosed = r.Draining
 	h.latestReport, h.lastReceivedAt = r, now
 	return true
 }
@@ -109,16 +148,54 @@
 	return !h.lastReceivedAt.IsZero() && !h.upstreamClosed && now.Sub(h.lastReceivedAt) > timeout
 }
 
+// isUnknownService reports whether the configuration that the node holds lacks the service.
+func (a *Announce) isUnknownService(service string) bool {
+	if a.view == nil {
+		return false
+	}
+	s := a.view.Current()
+	if s == nil || len(s.Clusters) == 0 {
+		return false
+	}
+	for _, c := range s.Clusters {
+		if c.Service == service {
+			return false
+		}
+	}
+	return true
+}
+
+// HandleMisdirected processes the answer to a call for the upstream with the given ID that another upstream
+// gave. If that ID has claimed the address from a live upstream, the one before gets it back.
+func (a *Announce) HandleMisdirected(id string) {
+	now := a.c.Clock.Now()
+	a.mu.Lock()
+	if !a.heartbeats.disprove(id, now) {
+		a.mu.Unlock()
+		return
+	}
+	r := a.heartbeats.latestReport
+	a.replaceUpstream(r, now)
+	if a.stop == nil {
+		a.announcer.setState(resource.StateReady, readySinceMillis(now, 0))
+	}
+	a.mu.Unlock()
+	a.c.Log.Log(evDisproved).Str("upstream", r.ID).Str("claimed_by", id).Send()
+	a.announce()
+}
+
 // HandleReport processes a heartbeat of the upstream beside the node. After HandleReport returns, an
 // upstream that reported Draining or Gone gets no new calls. If the report is outdated, HandleReport
-// changes nothing and returns false.
+// changes nothing and returns false. The same holds for one that claims the address of a live upstream for a
+// service that does not exist.
 func (a *Announce) HandleReport(r Report) bool {
 	now := a.c.Clock.Now()
+	unknownService := !r.Gone && a.isUnknownService(r.Service)
 	a.mu.Lock()
 	before := a.heartbeats
-	if !a.heartbeats.accept(r, now) {
+	if unknownService && a.heartbeats.contests(r) || !a.heartbeats.accept(r, now) {
 		a.mu.Unlock()
-		a.c.Log.Log(evLateReport).Str("upstream", r.ID).Uint("sequence", r.Sequence).Str("known_upstream", before.latestReport.ID).Send()
+		a.c.Log.Log(evLateReport).Str("upstream", r.ID).Str("service", r.Service).Uint("sequence", r.Sequence).Str("known_upstream", before.latestReport.ID).Send()
 		return false
 	}
 	if r.ID != before.latestReport.ID || r.StartedAtMillis != before.latestReport.StartedAtMillis {
--- a/plugin/announce/report_test.go
+++ b/plugin/announce/report_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
@@ -43,6 +44,10 @@
 		{"repeated gone, node restarted", []Report{gone("a", 0), gone("a", 0), ready("a", beforeNow, 3)}, []bool{true, true, false}, true},
 		{"new start after gone, node restarted", []Report{gone("a", 0), ready("a", afterNow, 1)}, []bool{true, true}, false},
 		{"other upstream after gone, node restarted", []Report{gone("a", 0), ready("b", beforeNow, 1)}, []bool{true, true}, false},
+		{"stranger that leaves", []Report{ready("a", 1, 1), draining("b", 9, 1), ready("a", 1, 2)}, []bool{true, false, true}, false},
+		{"same identity, new start that leaves", []Report{ready("a", 1, 7), draining("a", 2, 1)}, []bool{true, true}, true},
+		{"replacement that leaves", []Report{ready("a", 1, 1), draining("a", 1, 2), draining("b", 9, 1)}, []bool{true, true, true}, true},
+		{"late report of a stranger that has left", []Report{ready("a", 1, 1), draining("b", 9, 2), ready("b", 9, 1)}, []bool{true, false, false}, false},
 		{"drain that is cancelled", []Report{draining("a", 1, 1), ready("a", 1, 2)}, []bool{true, true}, false},
 	} {
 		var h heartbeats
@@ -113,3 +118,66 @@
 		}
 	}
 }
+
+// Guards against an upstream that is out of service because another writer has sent one heartbeat, or many, with
+// its address.
+func TestAddressBelongsToTheUpstreamThatAnswers(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	report := func(id string, at int64, seq uint64) Report {
+		return Report{ID: id, StartedAtMillis: at, Sequence: seq, Service: "s", Slots: 9}
+	}
+	var h heartbeats
+	h.accept(report("real", 1, 1), now)
+	if h.disprove("real", now) {
+		t.Error("the only upstream that claims the address loses it")
+	}
+	if !h.accept(report("stranger", 9, 1), now) {
+		t.Error("a later start does not get the address until it is disproved")
+	}
+	if h.disprove("real", now) || h.latestReport.ID != "stranger" {
+		t.Error("a late answer about the upstream before takes the address away")
+	}
+	if !h.disprove("stranger", now) || h.latestReport.ID != "real" {
+		t.Fatalf("address belongs to %q, want the upstream that answers", h.latestReport.ID)
+	}
+	for seq := range uint64(5) {
+		if h.accept(report("stranger", 9, 2+seq), now) {
+			t.Fatal("the disproved claim counts again")
+		}
+		if !h.accept(report("real", 1, 2+seq), now) {
+			t.Fatal("heartbeat of the real upstream is ignored")
+		}
+	}
+	if !h.accept(report("stranger", 10, 1), now) {
+		t.Error("a later start of the disproved upstream never gets the address")
+	}
+	h = heartbeats{}
+	h.accept(report("old", 1, 1), now)
+	h.accept(Report{ID: "old", StartedAtMillis: 1, Gone: true}, now)
+	h.accept(report("new", 9, 1), now)
+	if h.disprove("new", now) {
+		t.Error("the address goes back to an upstream that has left")
+	}
+}
+
+// fakeView holds a fixed snapshot.
+type fakeView struct {
+	api.View
+	snapshot *resource.Snapshot
+}
+
+func (v *fakeView) Current() *resource.Snapshot { return v.snapshot }
+
+// Guards against a live upstream that loses its address to a heartbeat for a service that does not exist.
+// No call would ever reach the address then, and nothing would disprove the claim.
+func TestUnknownServiceClaimsNoAddress(t *testing.T) {
+	view := &fakeView{}
+	a := &Announce{view: view}
+	if a.isUnknownService("s") {
+		t.Error("a service is unknown before the node holds a configuration")
+	}
+	view.snapshot = &resource.Snapshot{Clusters: map[string]*resource.Cluster{"c": {Service: "s"}}}
+	if a.isUnknownService("s") || !a.isUnknownService("other") {
+		t.Error("services are not those of the clusters")
+	}
+}
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -313,6 +313,7 @@
 	case dialect.AnswerRejected:
 		c.failure = newRejection(httpcall.ReasonUpstreamRejected, errors.Newf("upstream did not run the call, status %d", x.Response.StatusCode))
 	case dialect.AnswerMisdirected:
+		c.in.announce.HandleMisdirected(c.dispatch.Upstream)
 		c.failure = newRejection(httpcall.ReasonWrongUpstream, errors.New("another upstream answers at the address"))
 	case dialect.AnswerInvalid, dialect.AnswerForeign:
 		c.failure = httpcall.NewFailure(httpcall.KindCut, verdict.MayHaveRun, errors.Newf("response with status %d is not a complete answer of the upstream to this call", x.Response.StatusCode))
--- a/test/dataplane/fakes_test.go
+++ b/test/dataplane/fakes_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/kernel"
 )
@@ -52,6 +53,8 @@
 	leaveDone  chan struct{}
 }
 
+var _ api.Announcer = (*fakeAnnounce)(nil)
+
 func (a *fakeAnnounce) Start(context.Context) error { return nil }
 func (a *fakeAnnounce) Stop(context.Context) error  { return nil }
 
@@ -73,8 +76,9 @@
 	return a.draining
 }
 
-func (a *fakeAnnounce) UpstreamID() string     { return "" }
-func (a *fakeAnnounce) IsUpstreamClosed() bool { return false }
+func (a *fakeAnnounce) UpstreamID() string       { return "" }
+func (a *fakeAnnounce) IsUpstreamClosed() bool   { return false }
+func (a *fakeAnnounce) HandleMisdirected(string) {}
 
 func (a *fakeAnnounce) OnLeave(f func(done func())) { a.leaveFunc = f }
 
