inbound, idempotency: log what is decided about calls with a key

Event 807 tells the decision and the outcome of such a call at its primary with the ID of the claim, and 853 that another holder knew the claim, with the sequence numbers of both. Calls that run and are answered leave no line.

--- a/plugin/idempotency/join.go
+++ b/plugin/idempotency/join.go
@@ -114,7 +114,9 @@
 func (p *Idempotency) handleRefusal(rec *Record, answer *reply) (Result, *Record, error) {
 	if answer.Result == ResultKnown {
 		p.repeats.Inc()
-		return ResultKnown, p.adoptRecord(answer.Record), nil
+		r := answer.Record
+		p.c.Log.Log(evAdopted).Str("claim", rec.ID).Str("state", string(r.State)).Str("primary", r.Primary).Uint("seq", r.Seq).Uint("own_seq", rec.Seq).Send()
+		return ResultKnown, p.adoptRecord(r), nil
 	}
 	p.Release(rec.ID)
 	return answer.Result, nil, nil
--- a/plugin/idempotency/plugin.go
+++ b/plugin/idempotency/plugin.go
@@ -26,6 +26,7 @@
 var (
 	evCopied         = event.Declare(850, zerolog.DebugLevel, "claims copied to their new holders")
 	evCopyFailed     = event.Declare(851, zerolog.WarnLevel, "claims could not be copied to a new holder")
+	evAdopted        = event.Declare(853, zerolog.InfoLevel, "claim of an earlier call learned from another holder")
 	evMessageNotSent = event.Declare(852, zerolog.WarnLevel, "outcome or release of a claim could not be sent to another holder")
 )
 
--- a/plugin/inbound/keyed.go
+++ b/plugin/inbound/keyed.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/core/httpcall"
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/plugin/idempotency"
@@ -35,8 +37,10 @@
 	})
 	switch {
 	case err != nil:
+		c.logKeyed(id, "holder-unreachable", err)
 		c.reject(httpcall.ReasonBackupUnreachable)
 	case result == idempotency.ResultKnown:
+		c.logKeyed(id, "repeat-"+string(known.State), nil)
 		c.answerRepeat(known)
 	case result == idempotency.ResultConflict:
 		c.reject(httpcall.ReasonKeyConflict)
@@ -56,15 +60,25 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
+// logKeyed logs what was decided about a call with the given claim, or how it ended. Calls without an ID
+// are not logged.
+func (c *call) logKeyed(claim, outcome string, err error) {
+	if c.info.ID != "" {
+		c.in.c.Log.Log(evKeyed).Str("id", c.info.ID).Str("claim", claim).Str("outcome", outcome).Str("backup", c.info.BackupNode).Err(err).Send()
+	}
+}
+
 // runKeyed executes a claimed call and records its outcome.
 func (c *call) runKeyed(id string) {
 	if reason := c.runInSlot(c.forwardAndKeep); reason != "" {
+		c.logKeyed(id, "released", errors.New(reason))
 		c.in.claims.Release(id)
 		c.reject(reason)
 		return
 	}
 	switch {
 	case c.failure != nil:
+		c.logKeyed(id, "may-have-run", c.failure)
 		c.in.claims.Finish(id, idempotency.StateUnknown, nil)
 		c.answerMayHaveRun()
 	case c.answer != nil:
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -37,6 +37,7 @@
 	evLeaving   = event.Declare(803, zerolog.InfoLevel, "rejecting calls because the upstream is leaving")
 	evRejected  = event.Declare(805, zerolog.InfoLevel, "call rejected before it ran")
 	evFailed    = event.Declare(806, zerolog.InfoLevel, "dispatch to the upstream failed")
+	evKeyed     = event.Declare(807, zerolog.InfoLevel, "call with an Idempotency-Key decided")
 	evDrained   = event.Declare(804, zerolog.InfoLevel, "all calls in flight have ended")
 )
 
