idempotency: a claim is not refused because a copy of it arrived first

The drain made it copy its claims to the new holder at once; the copy of claim 7 overtook claim 7 itself, and the holder answered that the key is known: running, same primary, same sequence number. The primary took its own claim for an earlier call that may have run. Class: a message that arrives by two ways is not idempotent. Change: a running claim of the same process with the same number is the claim itself and is accepted. Only its primary sends it, once, and runs the call only on this answer.

--- a/plugin/idempotency/table.go
+++ b/plugin/idempotency/table.go
@@ -99,7 +99,8 @@
 
 // claim records c unless its key is known. A running claim of the same process with a lower Seq is
 // replaced: the process makes a new claim of a key only after it has released the earlier one, so
-// the call of the earlier claim did not run.
+// the call of the earlier claim did not run. One with the same Seq is c itself: a copy for new holders can
+// arrive before the claim.
 func (t *claimTable) claim(c *Record, now time.Time, ttl time.Duration) (Result, *Record) {
 	t.expire(now)
 	old := t.records[c.ID]
@@ -108,7 +109,7 @@
 		return ResultFull, nil
 	case old != nil && old.Hash != c.Hash:
 		return ResultConflict, nil
-	case old != nil && (old.State != StateRunning || old.Primary != c.Primary || old.Boot != c.Boot || old.Seq >= c.Seq):
+	case old != nil && (old.State != StateRunning || old.Primary != c.Primary || old.Boot != c.Boot || old.Seq > c.Seq):
 		return ResultKnown, old
 	}
 	n := *c
@@ -143,9 +144,15 @@
 	return &n
 }
 
+// holds reports whether the table has a record of the claim r, in any state.
+func (t *claimTable) holds(r *Record) bool {
+	old := t.records[r.ID]
+	return old != nil && old.Primary == r.Primary && old.Boot == r.Boot && old.Seq == r.Seq
+}
+
 // release removes the claim r, whose call did not run.
 func (t *claimTable) release(r *Record) {
-	if old := t.records[r.ID]; old != nil && old.State == StateRunning && old.Primary == r.Primary && old.Boot == r.Boot && old.Seq == r.Seq {
+	if old := t.records[r.ID]; t.holds(r) && old.State == StateRunning {
 		t.remove(old)
 	}
 }
--- a/plugin/idempotency/table_test.go
+++ b/plugin/idempotency/table_test.go
@@ -24,7 +24,8 @@
 }
 
 // Guards against a call that runs twice because a release or claim of an earlier
-// attempt arrives late, a holder crashes, or two processes claim the key concurrently.
+// attempt arrives late, a holder crashes, or two processes claim the key concurrently. Guards also against
+// a key that is refused although its call never ran, because a copy of the claim arrived before the claim.
 func TestClaimedCallsRunOnce(t *testing.T) {
 	params := gopter.DefaultTestParametersWithSeed(5)
 	params.MinSuccessfulTests = 2000
@@ -32,6 +33,7 @@
 	props.Property("a key runs at most once while one holder is up", prop.ForAll(func(seed uint64) string {
 		r := rand.New(rand.NewPCG(seed, 0))
 		h := []*holder{{name: "p", boot: 1, t: newClaimTable(9, 1<<20)}, {name: "b", boot: 2, t: newClaimTable(9, 1<<20)}}
+		var rec *Record
 		var delayed []func() // messages in flight to the backup
 		runs, crashed := 0, false
 		for range 12 {
@@ -48,7 +50,10 @@
 			if r.IntN(4) == 0 { // the claim is lost or delayed: the call does not run
 				delayed = append(delayed, func() { b.t.claim(c, start, time.Minute) })
 				p.t.release(c)
-			} else if result, rec := b.t.claim(c, start, time.Minute); result == ResultKnown {
+			} else if copyClaim(r, b, c); b.t.refuses(c, &rec) {
+				if runs == 0 && !crashed {
+					return "the claim is refused although the call never ran"
+				}
 				p.t.finish("k", StateUnknown, rec.Reply, start, time.Minute)
 			} else if r.IntN(2) == 0 { // rejected before it ran
 				p.t.release(c)
@@ -74,6 +79,20 @@
 	props.TestingRun(t)
 }
 
+// copyClaim delivers, in half of the cases, the copy of a claim that a drain or a new holder has caused.
+func copyClaim(r *rand.Rand, to *holder, c *Record) {
+	if r.IntN(2) == 0 {
+		to.t.merge(c, start, time.Minute)
+	}
+}
+
+// refuses delivers a claim and reports whether its key is known already, with the record in rec.
+func (t *claimTable) refuses(c *Record, rec **Record) bool {
+	result, known := t.claim(c, start, time.Minute)
+	*rec = known
+	return result == ResultKnown
+}
+
 // Guards against a table that grows without bound or evicts a claim in favour of a new one.
 func TestFullTableRefusesNewClaims(t *testing.T) {
 	c := newClaimTable(2, 10)
