idempotency: a released claim is released at holders that got a copy

What callers would see: the same refusal for ten minutes, when a call that waited for a slot was rejected after a new holder had got a copy of its claim. Cause: Release told the nodes that were asked to record the claim, not those that were sent a copy; and a copy can arrive behind the release. Change: Release goes to the current holders too, and whoever sent a copy releases it again if the claim was released meanwhile. Evidence: TestReleasedClaimIsFreeAtNewHolders timed out before, 2 of 2 pass; test/dataplane tests of keys pass 2 of 2 with the race detector.

--- a/plugin/idempotency/handover.go
+++ b/plugin/idempotency/handover.go
@@ -227,6 +227,7 @@
 			if err == nil && r.Result == ResultNew {
 				sent += len(b)
 				task.markDone(target, b)
+				p.releaseOutdatedCopies(target, b)
 				continue
 			}
 			unsent := 0
@@ -250,6 +251,22 @@
 	return failed == notRetryable || time.Now().Add(copyRetryInterval).After(task.deadline)
 }
 
+// releaseOutdatedCopies releases, at the target, copied claims that were released here while the copies were
+// sent. The release may have reached the target before the copy; the key would then never be free again.
+func (p *Idempotency) releaseOutdatedCopies(target httpcall.Target, copied []Record) {
+	var released []Record
+	p.mu.Lock()
+	for _, r := range copied {
+		if r.State == StateRunning && !p.claims.holds(&r) {
+			released = append(released, r)
+		}
+	}
+	p.mu.Unlock()
+	for _, r := range released {
+		p.sendAsync(target, &message{Op: opRelease, Records: []Record{r}})
+	}
+}
+
 // markDone records that the copies of the records to the target are not attempted again.
 func (k *copyTask) markDone(target httpcall.Target, records []Record) {
 	for i := range records {
--- a/plugin/idempotency/plugin.go
+++ b/plugin/idempotency/plugin.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -228,7 +229,8 @@
 	}
 }
 
-// Release removes the claim of a call that did not run, here and at the other holders.
+// Release removes the claim of a call that did not run, here and at the other holders, which may have got a
+// copy of it.
 func (p *Idempotency) Release(id string) {
 	p.mu.Lock()
 	r, replicas := p.claims.records[id], p.replicas[id]
@@ -240,7 +242,13 @@
 	if r == nil {
 		return
 	}
-	for _, target := range replicas {
+	targets := slices.Clone(replicas)
+	for _, target := range p.outcomeTargets(id, replicas) {
+		if !slices.Contains(targets, target) {
+			targets = append(targets, target)
+		}
+	}
+	for _, target := range targets {
 		p.sendAsync(target, &message{Op: opRelease, Records: []Record{*r}})
 	}
 }
