rpc, session: a node that is busy with a message does not take its instance for silent

What was seen: TestLargeUpdateOutlastsPingTimeout failed 3 of 9 runs beside a load of 17 to 33 and a build; not rerun till green, traced. Cause, by a trace in a scratch copy: (a) the whole update of 30,625 bytes had arrived, and the node decoded it for longer than ping_timeout while the answer waited unread, so nothing else had arrived meanwhile and the session ended; (b) the stand-in encoded the update in the job that answers pings, so nothing arrived at all. Bounds are unchanged.

--- a/core/rpc/frame.go
+++ b/core/rpc/frame.go
@@ -47,18 +47,23 @@
 type TrafficCounters struct {
 	Sent     atomic.Uint64
 	Received atomic.Uint64
+	// Awaiting is set while the connection waits for bytes of the peer, and not while a message is decoded or
+	// passed to its handler. Until then, a missing answer says nothing about the peer.
+	Awaiting atomic.Bool
 }
 
-// countingReader adds the bytes read from r to n.
+// countingReader counts the bytes read from r in traffic.
 type countingReader struct {
-	r io.Reader
-	n *atomic.Uint64
+	r       io.Reader
+	traffic *TrafficCounters
 }
 
 // Read implements io.Reader.
 func (c countingReader) Read(p []byte) (int, error) {
+	c.traffic.Awaiting.Store(true)
 	n, err := c.r.Read(p)
-	c.n.Add(uint64(n))
+	c.traffic.Awaiting.Store(false)
+	c.traffic.Received.Add(uint64(n))
 	return n, err
 }
 
@@ -80,7 +85,7 @@
 }
 
 func newStream(c net.Conn, traffic *TrafficCounters) *stream {
-	s := &stream{conn: c, reader: bufio.NewReaderSize(countingReader{c, &traffic.Received}, 4096), traffic: traffic, done: make(chan struct{})}
+	s := &stream{conn: c, reader: bufio.NewReaderSize(countingReader{c, traffic}, 4096), traffic: traffic, done: make(chan struct{})}
 	s.wake = sync.NewCond(&s.mu)
 	go s.writeLoop()
 	return s
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -14,7 +14,8 @@
 
 // sendPing sends a heartbeat if the node is attached. If the instance does not answer and nothing else
 // arrives from it either, the connection is closed and the link connects to another instance. An answer
-// may wait behind a large update on a slow link; a new session would have to get that update again.
+// may wait behind a large update, on a slow link or while this node decodes it; a new session would have to get
+// that update again.
 func (s *Session) sendPing() {
 	s.mu.Lock()
 	c := s.conn
@@ -37,7 +38,7 @@
 	}
 	received := c.Traffic.Received.Load()
 	s.call(c, peerapi.NodePing, p, s.s.PingTimeout.AsDuration(), func(raw []byte, err error) {
-		if errors.Is(err, context.DeadlineExceeded) && c.Traffic.Received.Load() != received {
+		if errors.Is(err, context.DeadlineExceeded) && (c.Traffic.Received.Load() != received || !c.Traffic.Awaiting.Load()) {
 			return // a later ping decides
 		}
 		var r peerapi.Pong
