--- a/core/httpcall/unframed_test.go
+++ b/core/httpcall/unframed_test.go
@@ -59,11 +59,12 @@
 				name := fmt.Sprintf("request of %d, answer of %d bytes, reset %v", requestBytes, answerBytes, reset)
 				address := answerEarly(t, strings.Repeat("a", answerBytes), reset)
 				c := NewClient(ClientOptions{Rank: rank.Routing})
+				rest := strings.Repeat("x", max(requestBytes-1, 0)) // built before the deadline is set
 				r := newRequest(address)
 				r.BufferBytes, r.HTTP.Method = buffer, http.MethodPost
 				if requestBytes > 0 {
 					r.Body = NewBytesBody([]byte("x"))
-					r.Body.rest, r.Body.length = strings.NewReader(strings.Repeat("x", requestBytes-1)), int64(requestBytes)
+					r.Body.rest, r.Body.length = strings.NewReader(rest), int64(requestBytes)
 				}
 				x, f := c.Do(t.Context(), r)
 				whole := f == nil
