announce: an upstream that leaves does not get its address back

Found by reading the diff: a stranger's heartbeat takes the address of the real upstream, the real one reports that it drains and is acknowledged, and a call for the stranger is then answered by the real one. It would have been announced as ready again, after its acknowledged drain. Change: a report that drains or ends the displaced upstream ends its claim to the address. The new cases of TestAddressBelongsToTheUpstreamThatAnswers fail without it.

--- a/plugin/announce/report.go
+++ b/plugin/announce/report.go
@@ -79,6 +79,9 @@
 
 // accept records a report and returns true, or returns false if the report is outdated.
 func (h *heartbeats) accept(r Report, now time.Time) bool {
+	if r.ID == h.displaced.ID && (r.Draining || r.Gone) {
+		h.displaced = Report{} // it leaves, and must not get the address back
+	}
 	if h.isOutdated(r) {
 		return false
 	}
--- a/plugin/announce/report_test.go
+++ b/plugin/announce/report_test.go
@@ -151,6 +151,18 @@
 	if !h.accept(report("stranger", 10, 1), now) {
 		t.Error("a later start of the disproved upstream never gets the address")
 	}
+	for name, leaving := range map[string]Report{
+		"drains":   {ID: "real", StartedAtMillis: 1, Sequence: 2, Draining: true},
+		"has left": {ID: "real", StartedAtMillis: 1, Gone: true},
+	} {
+		h = heartbeats{}
+		h.accept(report("real", 1, 1), now)
+		h.accept(report("stranger", 9, 1), now)
+		h.accept(leaving, now)
+		if h.disprove("stranger", now) {
+			t.Errorf("an upstream that %s gets the address back", name)
+		}
+	}
 	h = heartbeats{}
 	h.accept(report("old", 1, 1), now)
 	h.accept(Report{ID: "old", StartedAtMillis: 1, Gone: true}, now)
