core/httpcall: the error of sending a request is kept until its answer has ended

Cause: the end of such an answer counts only if the request was sent without an error. That error is read from a channel in two places; where the exchange looks whether its answer came early, it was dropped, so an error that arrived between the head and that look was forgotten. Class: a result that can be read once, read in two places. Change: the exchange keeps the error, and both places use it. Evidence: TestErrorOfSendingIsRemembered fails with the error dropped and passes with it kept.

--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -67,9 +67,12 @@
 	// stopCancellation ends the effect of the context on the connection. It returns false if the
 	// context was cancelled before.
 	stopCancellation func() bool
-	writeDone        chan error // nil when the body was sent before the answer was read
-	held             *heldBody  // the body that waits for the request to be accepted; nil if none does
-	unblockBody      func()
+	// writeDone gets the result of sending the request; nil once sendErr holds it.
+	writeDone chan error
+	// sendErr is the error with which sending the request ended; nil if it was sent to its end.
+	sendErr     error
+	held        *heldBody // the body that waits for the request to be accepted; nil if none does
+	unblockBody func()
 }
 
 // rejectionMargin is the largest amount that is subtracted from the remaining time that is sent to
@@ -120,6 +123,7 @@
 		x.abort()
 		return nil, x.classifyFailure(ctx, r, err)
 	}
+	x.sendErr = err
 	// The other side may have answered before the write failed.
 	resp, respErr := x.readResponse(r)
 	if respErr != nil {
@@ -128,7 +132,7 @@
 	}
 	x.Response = resp
 	if isUnframed(resp) {
-		resp.Body = &unframedBody{ReadCloser: resp.Body, x: x, ctx: ctx, deadline: r.Deadline, sendErr: err}
+		resp.Body = &unframedBody{ReadCloser: resp.Body, x: x, ctx: ctx, deadline: r.Deadline}
 	}
 	rejection, respErr := x.checkRejection()
 	if respErr == nil && rejection == nil && (r.IgnoreBody == nil || !r.IgnoreBody(resp)) {
@@ -211,10 +215,10 @@
 		return false
 	}
 	select {
-	case err := <-x.writeDone:
+	case x.sendErr = <-x.writeDone:
 		x.writeDone = nil
 		x.countDispatch()
-		return err != nil
+		return x.sendErr != nil
 	default:
 		return true
 	}
--- a/core/httpcall/unframed.go
+++ b/core/httpcall/unframed.go
@@ -29,8 +29,6 @@
 	x        *Exchange
 	ctx      context.Context
 	deadline time.Time
-	// sendErr is the error of a request that was sent before its answer was read; nil if there was none.
-	sendErr error
 }
 
 // Read implements io.Reader. At the end of the connection it waits until the request was sent, sending
@@ -47,15 +45,15 @@
 // request was sent.
 func (x *Exchange) isSent(b *unframedBody) bool {
 	if x.writeDone == nil {
-		return b.sendErr == nil
+		return x.sendErr == nil
 	}
 	t := time.NewTimer(time.Until(b.deadline))
 	defer t.Stop()
 	select {
-	case b.sendErr = <-x.writeDone:
+	case x.sendErr = <-x.writeDone:
 		x.writeDone = nil
 		x.countDispatch()
-		return b.sendErr == nil
+		return x.sendErr == nil
 	case <-b.ctx.Done():
 	case <-t.C:
 	}
--- a/core/httpcall/unframed_test.go
+++ b/core/httpcall/unframed_test.go
@@ -84,3 +84,21 @@
 		}
 	}
 }
+
+// Guards against a reset that is taken for the end of an answer without a length, because the error of sending
+// the request was noticed, and forgotten, before the answer was read to its end.
+func TestErrorOfSendingIsRemembered(t *testing.T) {
+	client := NewClient(ClientOptions{Rank: rank.Routing})
+	defer client.Close()
+	for _, sendErr := range []error{nil, io.ErrClosedPipe} {
+		x := &Exchange{client: client, conn: &conn{}, writeDone: make(chan error, 1)}
+		x.writeDone <- sendErr
+		if unsent := x.isBodyUnsent(); unsent != (sendErr != nil) {
+			t.Errorf("error %v: request unsent %v", sendErr, unsent)
+		}
+		b := &unframedBody{ReadCloser: io.NopCloser(strings.NewReader("")), x: x, ctx: t.Context(), deadline: time.Now().Add(time.Second)}
+		if _, err := b.Read(make([]byte, 1)); (err == io.EOF) != (sendErr == nil) {
+			t.Errorf("error %v: the body ends with %v", sendErr, err)
+		}
+	}
+}
