test/e2e: failing test, a node that is cut off denies a new route (KNOWN-RED)

What callers see: 404, which they never retry, for a route that was accepted longer ago than a change may take.

--- /dev/null
+++ b/test/e2e/routemiss_test.go
@@ -0,0 +1,82 @@
+package e2e
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/celeryyard/celeryyard/core/layout"
+	"github.com/celeryyard/celeryyard/test/harness"
+)
+
+// convergeWithin is the time within which an accepted change is in force on all nodes.
+const convergeWithin = 3 * time.Second
+
+// statusFor returns the status with which a node answers a call to the host; 0 if it does not answer.
+func statusFor(node, host string) int {
+	r, err := http.NewRequest(http.MethodGet, "http://"+node+"/", nil)
+	if err != nil {
+		return 0
+	}
+	r.Host = host
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a node that answers 404, which callers never retry, for a route that was accepted
+// longer ago than a change may take: the node is cut off and cannot know that its configuration is old.
+func TestNodeThatIsCutOffDeniesNoRoute(t *testing.T) {
+	f := startFleet(t, true)
+	const zone = "gorenjska-a"
+	late := layout.Service{Name: "late-team", Organisation: "tacto-norte"}
+	inside, outside := f.callers(zone, true), f.callers(zone, false)
+	harness.WaitUntil(t, recoveryTimeout, "all nodes deny a route that does not exist", func() bool {
+		for _, node := range append(inside, outside...) {
+			if statusFor(node, late.Host()) != http.StatusNotFound {
+				return false
+			}
+		}
+		return true
+	})
+	f.Partition(zone)
+	body := layout.Team(late, 4000, nil)
+	body["parameters"].(map[string]any)["service"] = "catalogo"
+	if out, code := f.Command("tacto-norte", "team", "put", f.WriteJSON("late.json", body)); code != 0 {
+		t.Fatalf("team not accepted: %s", out)
+	}
+	accepted := time.Now()
+	time.Sleep(convergeWithin)
+	for time.Since(accepted) < 2*convergeWithin {
+		for _, node := range inside {
+			if status := statusFor(node, late.Host()); status != http.StatusServiceUnavailable {
+				t.Fatalf("status %d from %s, %v after the route was accepted", status, node, time.Since(accepted))
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.Heal(zone)
+	harness.WaitUntil(t, recoveryTimeout, "the nodes serve the route after the cut", func() bool {
+		for _, node := range append(inside, outside...) {
+			if statusFor(node, late.Host()) != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// callers returns the callers' addresses of the nodes inside a zone, or of those outside it.
+func (f *fleet) callers(zone string, inside bool) []string {
+	var list []string
+	for _, p := range f.Plan.Nodes {
+		if (p.Zone == zone) == inside {
+			list = append(list, p.CallersAddress)
+		}
+	}
+	return list
+}
