outbound, session, distribution: only a current configuration denies a route

Cause: a node answered from the configuration that it held, and could not know whether that was current. Any delay of its delivery became a wrong and final answer. The class is a negative answer without proof, like a read without a barrier. Change: instances state in answers to hellos and pings up to when a majority confirms their newest version; a node that holds that version knows the age of its configuration, and answers 404 only within converge_within, else 503 'not run'. An instance that receives entries and does not apply them counts as isolated now. Why it works: if a node denies a route at t, its configuration was the newest one at t - converge_within or later, so it has all that was accepted before; nothing is assumed about the cause of the delay.

--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -57,11 +57,22 @@
 	// Unreachable names the control instances to which the sender has had no connection for some
 	// time. Nodes try them last.
 	Unreachable []string `json:"unreachable,omitempty"`
+	// Currency states how current the instance's configuration is; nil if it does not know.
+	Currency *Currency `json:"cur,omitempty"`
 	// Known is the last announcement of the node that the instance knows of; nil if there is none. A
 	// node that was restarted learns from it what its upstream stated before.
 	Known *resource.Announcement `json:"known,omitempty"`
 }
 
+// Currency states that the configuration of a control instance had Version as its newest version AgeMillis before
+// the message was sent, by the word of a majority of the voters. A node that holds Version or a later one had
+// the newest configuration at that time.
+type Currency struct {
+	Version resource.Version `json:"v"`
+	// AgeMillis is rounded up.
+	AgeMillis int64 `json:"a"`
+}
+
 // Instance is a control instance of an open fleet; its name is its host address.
 type Instance struct {
 	Name             string `json:"n"`
@@ -115,6 +126,8 @@
 	// Isolated reports whether the instance cannot reach the quorum; if so, its nodes look for
 	// an instance that can.
 	Isolated bool `json:"isolated,omitzero"`
+	// Currency is as in HelloReply.
+	Currency *Currency `json:"cur,omitempty"`
 	// Loads holds the known endpoint loads of the services named in the ping.
 	Loads []ServiceLoads `json:"l,omitempty"`
 	// Unreachable replaces HelloReply.Unreachable; nil if the list has not changed since it was last
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -78,6 +78,8 @@
 	confirmedAt time.Time
 	// writeTime is the time that each write to the disk takes.
 	writeTime time.Duration
+	// unapplied is the number of committed entries that are not applied.
+	unapplied uint64
 }
 
 func (l *fakeLog) SetStateMachine(api.StateMachine) {}
@@ -102,7 +104,7 @@
 	if !l.partitioned {
 		l.confirmedAt = l.c.Clock.Now()
 	}
-	return api.QuorumStatus{Role: "follower", Confirmed: l.confirmedAt, WriteTime: l.writeTime}
+	return api.QuorumStatus{Role: "follower", Confirmed: l.confirmedAt, WriteTime: l.writeTime, Commit: l.unapplied}
 }
 
 func (l *fakeLog) SyncReleasedVersion(v resource.Version, done func(error)) {
@@ -123,6 +125,12 @@
 	l.writeTime = d
 }
 
+func (l *fakeLog) setUnapplied(entries uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unapplied = entries
+}
+
 func (l *fakeLog) setPartitioned(partitioned bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -28,8 +28,10 @@
 		return
 	}
 	now := d.c.Clock.Now()
+	isolated, currency := d.assessContact(now)
 	reply := &peerapi.HelloReply{
-		Instance: d.c.Instance.Name, Isolated: d.isIsolated(now), Instances: d.openFleetInstances(), Unreachable: d.discovery.Unreachable(unreachableAfter),
+		Instance: d.c.Instance.Name, Isolated: isolated, Instances: d.openFleetInstances(), Unreachable: d.discovery.Unreachable(unreachableAfter),
+		Currency: currency.message(now),
 	}
 	if h.Probe {
 		r.Reply(reply)
@@ -66,24 +68,31 @@
 	return out
 }
 
-// isIsolated reports whether this instance cannot bring its nodes up to date in time: it has had no contact
-// with the quorum for longer than IsolatedAfter, or its disk, which must hold a version before it is
-// released, takes longer than MaxWriteTime for a write. The time before the start of the process does not count: when all
-// instances restart together, all nodes would otherwise move to another instance before the first election ends.
-// A change of the result is logged.
-func (d *Distribution) isIsolated(now time.Time) bool {
-	status := d.log.Status()
-	since := status.Confirmed
-	if since.Before(d.startedAt) {
-		since = d.startedAt
-	}
-	age := now.Sub(since)
-	isolated := age > d.s.IsolatedAfter.AsDuration() || status.WriteTime > d.s.MaxWriteTime()
+// assessContact returns how current the configuration of this instance is, and whether the instance is
+// isolated: it cannot bring its nodes up to date in time. That is so if it has had no contact with the quorum for longer
+// than IsolatedAfter, if its disk, which must hold a version before it is released, takes longer than MaxWriteTime for
+// a write, or if it applies what it receives late by more than MaxWriteTime. The time before the start of the process does
+// not count: when all instances restart together, all nodes would otherwise move to another instance before the first
+// election ends. A change of isolated is logged.
+func (d *Distribution) assessContact(now time.Time) (isolated bool, c currency) {
+	status, c := d.observeLog()
+	ageSinceStart := func(at time.Time) time.Duration {
+		if at.Before(d.startedAt) {
+			at = d.startedAt
+		}
+		return now.Sub(at)
+	}
+	confirmedAge, currentAge := ageSinceStart(status.Confirmed), ageSinceStart(c.at)
+	if c.version == 0 {
+		currentAge = 0 // an instance without a configuration has none to be late with
+	}
+	isolated = confirmedAge > d.s.IsolatedAfter.AsDuration() || status.WriteTime > d.s.MaxWriteTime() ||
+		currentAge > d.s.IsolatedAfter.AsDuration()+d.s.MaxWriteTime()
 	if d.loggedIsolated.Swap(isolated) != isolated {
-		d.c.Log.Log(evIsolated).Str("isolated", strconv.FormatBool(isolated)).Int("confirmed_age_ms", int(age.Milliseconds())).
-			Int("write_ms", int(status.WriteTime.Milliseconds())).Str("leader", status.Leader).Send()
+		d.c.Log.Log(evIsolated).Str("isolated", strconv.FormatBool(isolated)).Int("confirmed_age_ms", int(confirmedAge.Milliseconds())).
+			Int("current_age_ms", int(currentAge.Milliseconds())).Int("write_ms", int(status.WriteTime.Milliseconds())).Str("leader", status.Leader).Send()
 	}
-	return isolated
+	return isolated, c
 }
 
 // attach adds a session to the table and reports whether the caller must start a linearizable
@@ -212,7 +221,9 @@
 	if p.Report != nil {
 		d.capacity.Report(e.node, *p.Report)
 	}
-	r.Reply(&peerapi.Pong{Isolated: d.isIsolated(d.c.Clock.Now()), Loads: d.capacity.Loads(p.Calls), Unreachable: d.changedUnreachable(e)})
+	now := d.c.Clock.Now()
+	isolated, currency := d.assessContact(now)
+	r.Reply(&peerapi.Pong{Isolated: isolated, Currency: currency.message(now), Loads: d.capacity.Loads(p.Calls), Unreachable: d.changedUnreachable(e)})
 }
 
 // changedUnreachable returns the unreachable instances if the node was last told of others, else nil.
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -98,7 +98,7 @@
 	// loggedIsolated is the state of the last event 510.
 	loggedIsolated atomic.Bool
 
-	// mu guards the fields below up to syncingVersion. It is not held during calls into the
+	// mu guards the fields below up to currency. It is not held during calls into the
 	// catalog, the log or discovery, whose locks have lower ranks.
 	mu             *rank.Mutex
 	sessions       map[uint64]*nodeSession
@@ -117,6 +117,7 @@
 	// syncingVersion is the version that is being synced; it equals releasedVersion while no sync is
 	// running.
 	releasedVersion, syncingVersion resource.Version
+	currency                        currency
 
 	updates     *metrics.Counter
 	updateBytes *metrics.Counter
--- a/plugin/distribution/slowdisk_test.go
+++ b/plugin/distribution/slowdisk_test.go
@@ -34,7 +34,7 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	slow.log.setWriteTime(0)
-	if slow.distribution.isIsolated(time.Now()) {
+	if isolated, _ := slow.distribution.assessContact(time.Now()); isolated {
 		t.Error("the instance counts as isolated although its disk is fast again")
 	}
 }
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -74,9 +74,14 @@
 	// metricsByOrganisation points to a map that is never modified: adding an organisation replaces
 	// it by a larger copy.
 	metricsByOrganisation atomic.Pointer[map[string]*callMetrics]
-	dispatches            *metrics.Counter
-	ejections             *metrics.Counter
-	queueTime             *metrics.Histogram
+	// configurationAge returns how long ago the configuration is known to have been the newest one; nil without the
+	// plug-in session, whose view is then taken as current.
+	configurationAge func() (age time.Duration, known bool)
+	// routesDenied and routesUncertain count the calls without a route that were answered with 404 and 503.
+	routesDenied, routesUncertain *metrics.Counter
+	dispatches                    *metrics.Counter
+	ejections                     *metrics.Counter
+	queueTime                     *metrics.Histogram
 }
 
 // callMetrics counts the calls of one organisation by verdict, and their retries.
@@ -88,9 +93,11 @@
 		c: c, s: c.Settings.(*Settings), view: view, peer: kernel.MustFind[*peer.Peer](c, "peer"),
 		table:   newTable(c.Instance.AvailabilityZone, c.Instance.Name, view.Current, c.NewRand()),
 		dialect: dialect.Native{}, routeStats: routeStats{byRoute: map[string]routeMeans{}},
-		dispatches: c.Metrics.NewCounter(`celeryyard_dispatches_total{side="outbound"}`),
-		ejections:  c.Metrics.NewCounter("celeryyard_ejections_total"),
-		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="outbound"}`),
+		dispatches:      c.Metrics.NewCounter(`celeryyard_dispatches_total{side="outbound"}`),
+		ejections:       c.Metrics.NewCounter("celeryyard_ejections_total"),
+		routesDenied:    c.Metrics.NewCounter(`celeryyard_route_misses_total{answer="denied"}`),
+		routesUncertain: c.Metrics.NewCounter(`celeryyard_route_misses_total{answer="uncertain"}`),
+		queueTime:       c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="outbound"}`),
 	}
 	c.Metrics.NewGauge("celeryyard_way_seconds", func() float64 { return o.table.smoothedRTT().Seconds() })
 	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
@@ -107,6 +114,7 @@
 	o.metricsByOrganisation.Store(&map[string]*callMetrics{})
 	o.view.Watch(o.applySnapshot)
 	if s, ok := kernel.Find[*session.Session](c, "session"); ok {
+		o.configurationAge = s.ConfigurationAge
 		s.SetLoadCallbacks(
 			func() []string { return o.table.recentServices(time.Now()) },
 			func(list []peerapi.ServiceLoads) { o.table.applyReports(list, time.Now()) })
@@ -187,8 +195,12 @@
 	}
 	c.version = snapshot.Version
 	c.route = snapshot.Table.Find(r.Method, r.Host, resource.RoutingPath(r.URL))
-	if c.route == nil || r.Method == http.MethodConnect {
-		c.respondError(http.StatusNotFound, verdict.NotRun, "no route matches the request")
+	if r.Method == http.MethodConnect {
+		c.respondError(http.StatusNotFound, verdict.NotRun, "no route matches a CONNECT request")
+		return
+	}
+	if c.route == nil {
+		c.respondRouteMiss(snapshot)
 		return
 	}
 	c.setDeadline(info.Timeout)
--- a/plugin/outbound/setup.go
+++ b/plugin/outbound/setup.go
@@ -18,7 +18,7 @@
 				Workers: 256, Queue: 256,
 				ClientIdle: settings.Duration(30 * time.Second), CallerIdle: settings.Duration(2 * time.Minute),
 				DialTimeout: settings.Duration(time.Second), SilenceTimeout: settings.Duration(10 * time.Second), MaxIdleConnsPerEndpoint: 16,
-				WaitShare: 0.5, RetryAllowance: defaultMinRetries, RetryWindow: settings.Duration(defaultRetryWindow),
+				ConvergeWithin: settings.Duration(3 * time.Second), WaitShare: 0.5, RetryAllowance: defaultMinRetries, RetryWindow: settings.Duration(defaultRetryWindow),
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newOutbound(c), nil },
@@ -49,6 +49,9 @@
 	// Service is the service whose upstream this node serves. Upstreams receive it as the caller
 	// of the calls that this node dispatches.
 	Service string `json:"service"`
+	// ConvergeWithin is the time within which an accepted change must be in force on this node. A call without a
+	// route is answered with 503 instead of 404 if the configuration was not confirmed for longer.
+	ConvergeWithin settings.Duration `json:"converge_within"`
 	// WaitShare is the fraction of a route's target that a call of the lowest priority may
 	// spend in the queues of endpoints.
 	WaitShare float64 `json:"wait_share"`
@@ -88,6 +91,8 @@
 		return settings.FieldErrorf("dial_timeout", "must be positive")
 	case s.SilenceTimeout <= 0:
 		return settings.FieldErrorf("silence_timeout", "must be positive")
+	case s.ConvergeWithin <= 0:
+		return settings.FieldErrorf("converge_within", "must be positive")
 	case s.WaitShare < 0 || s.WaitShare > 10:
 		return settings.FieldErrorf("wait_share", "%v is outside 0..10", s.WaitShare)
 	case s.BufferBytes < 0 || s.BufferBytes > maxBufferBytes:
--- a/plugin/session/keep.go
+++ b/plugin/session/keep.go
@@ -36,7 +36,7 @@
 	if s.calledServices != nil {
 		p.Calls = s.calledServices()
 	}
-	received := c.Traffic.Received.Load()
+	received, sentAt := c.Traffic.Received.Load(), s.c.Clock.Now()
 	s.call(c, peerapi.NodePing, p, s.s.PingTimeout.AsDuration(), func(raw []byte, err error) {
 		if errors.Is(err, context.DeadlineExceeded) && (c.Traffic.Received.Load() != received || !c.Traffic.Awaiting.Load()) {
 			return // a later ping decides
@@ -50,6 +50,7 @@
 			c.Close()
 			return
 		}
+		s.receiveCurrency(r.Currency, sentAt)
 		if s.onLoads != nil && len(r.Loads) > 0 {
 			s.onLoads(r.Loads)
 		}
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -89,6 +89,7 @@
 	failedLeaves int
 	// consecutiveRefusals counts the refused sessions since the last one that started.
 	consecutiveRefusals int
+	currency            currency
 
 	attachments *metrics.Counter
 }
@@ -235,6 +236,7 @@
 		Node: s.c.Instance.Name, AvailabilityZone: s.c.Instance.AvailabilityZone, Incarnation: s.incarnation,
 		Services: s.s.Services, Version: version, Digests: digests,
 	}
+	sentAt := s.c.Clock.Now()
 	s.call(c, peerapi.NodeHello, h, s.s.PingTimeout.AsDuration(), func(raw []byte, err error) {
 		var r peerapi.HelloReply
 		if err == nil {
@@ -248,6 +250,7 @@
 			c.Close()
 			return
 		}
+		s.receiveCurrency(r.Currency, sentAt)
 		for _, m := range r.Instances {
 			s.peer.LearnByName(m.Name, m.AvailabilityZone)
 		}
@@ -320,6 +323,9 @@
 	if now := s.view.Current(); now != nil {
 		a.Version = now.Version
 	}
+	s.mu.Lock()
+	s.currency.apply(a.Version)
+	s.mu.Unlock()
 	if err == nil && m.Delta != nil {
 		s.c.Log.Log(evUpdated).Str("process", c.Peer).Uint("version", uint64(a.Version)).Uint("previous", uint64(m.Delta.From)).
 			Int("changes", len(m.Delta.Upserts)+len(m.Delta.Removes)).Send()
