test/dataplane: the test client does not resend calls by itself

Cause: net/http sends a GET again when a connection in use breaks before the answer is read; the verdict belongs to the second request, the executions to the first. The reason in the verdict is only given before the first dispatch of a request, so that request had not run. Change: requests of the test have no GetBody, so that each call is one request. The check is unchanged and sees every answer now.

--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -246,6 +246,9 @@
 	if err != nil {
 		n.t.Fatal(err)
 	}
+	// Without GetBody, http.Transport does not send a request again by itself when the connection breaks
+	// before the first byte of the answer. Each call is one request, whose verdict is about its own executions.
+	r.GetBody = nil
 	if body == "" {
 		r.Body, r.ContentLength = nil, 0
 	}
