--- a/test/dataplane/once_test.go
+++ b/test/dataplane/once_test.go
@@ -79,6 +79,8 @@
 	cancelAfter time.Duration
 	// repeats is the number of times that the call is sent again.
 	repeats int
+	// otherNodes means that each repeat is sent to another node.
+	otherNodes bool
 }
 
 func newRandomCall(r *rand.Rand, id string) randomCall {
@@ -125,8 +127,11 @@
 // perform makes the call and its repeats, and returns all answers.
 func (c randomCall) perform(f *fleet) []answer {
 	var answers []answer
-	for range c.repeats + 1 {
+	for i := range c.repeats + 1 {
 		n := f.nodes[c.nodeIndex]
+		if c.otherNodes {
+			n = f.nodes[(c.nodeIndex+i)%len(f.nodes)]
+		}
 		header := []string{"Celeryyard-Timeout-Ms", c.timeoutMillis}
 		if c.key != "" {
 			header = append(header, "idempotency-key", c.key)
--- a/test/e2e/routemiss_test.go
+++ b/test/e2e/routemiss_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -44,12 +45,7 @@
 		return true
 	})
 	f.Partition(zone)
-	body := layout.Team(late, 4000, nil)
-	body["parameters"].(map[string]any)["service"] = "catalogo"
-	if out, code := f.Command("tacto-norte", "team", "put", f.WriteJSON("late.json", body)); code != 0 {
-		t.Fatalf("team not accepted: %s", out)
-	}
-	accepted := time.Now()
+	accepted := f.addRoute(late)
 	time.Sleep(convergeWithin)
 	for time.Since(accepted) < 2*convergeWithin {
 		for _, node := range inside {
@@ -70,6 +66,44 @@
 	})
 }
 
+// Guards against a node that was paused while a route was accepted, and denies the route once it resumes, before it has
+// read what its control instance has sent meanwhile.
+func TestPausedNodeDeniesNoRoute(t *testing.T) {
+	f := startFleet(t, false)
+	node, address := f.Nodes[0], f.Plan.Nodes[0].CallersAddress
+	for i := range 3 {
+		late := layout.Service{Name: fmt.Sprintf("late-team-%d", i), Organisation: "tacto-norte"}
+		harness.WaitUntil(t, recoveryTimeout, "the node denies a route that does not exist", func() bool {
+			return statusFor(address, late.Host()) == http.StatusNotFound
+		})
+		node.Freeze()
+		accepted := f.addRoute(late)
+		time.Sleep(time.Until(accepted.Add(convergeWithin)))
+		first := make(chan int, 8)
+		for range cap(first) {
+			go func() { first <- statusFor(address, late.Host()) }()
+		}
+		node.Thaw()
+		for range cap(first) {
+			if status := <-first; status == http.StatusNotFound {
+				t.Errorf("the node denies a route %v after it was accepted", time.Since(accepted))
+			}
+		}
+		harness.WaitUntil(t, recoveryTimeout, "the node serves the route", func() bool { return statusFor(address, late.Host()) == http.StatusOK })
+	}
+}
+
+// addRoute adds a team with a route to the service catalogo, and returns when it was accepted.
+func (f *fleet) addRoute(team layout.Service) time.Time {
+	f.t.Helper()
+	body := layout.Team(team, 4000, nil)
+	body["parameters"].(map[string]any)["service"] = "catalogo"
+	if out, code := f.Command("tacto-norte", "team", "put", f.WriteJSON(team.Name+".json", body)); code != 0 {
+		f.t.Fatalf("team not accepted: %s", out)
+	}
+	return time.Now()
+}
+
 // callers returns the callers' addresses of the nodes inside a zone, or of those outside it.
 func (f *fleet) callers(zone string, inside bool) []string {
 	var list []string
