idempotency: the primary of a running claim decides whether its key is free

Cause: a new primary that learned of a running claim from the earlier one kept it as a claim of its own in state unknown. The release of the claim names the earlier process, so it freed nothing; and a release that is lost was never made up for. Class: each copy of a claim was a verdict of its own. Change: the learned record is kept as it is, and the process that made it is asked for its state (message 'status'): free, running or ended. An outcome that arrives meanwhile is not replaced. If the process is gone, restarted or silent, the repeat gets 'may have run' as before. Why it works: only the process that made a claim can run its call, and it has released the claim if it says that it holds none.

--- a/plugin/idempotency/join.go
+++ b/plugin/idempotency/join.go
@@ -74,7 +74,7 @@
 // endpoint is left to ask. If all endpoints joined recently, as after a start of the whole fleet,
 // all of them are asked. If the number of asked endpoints were limited, a key could run twice when
 // more endpoints than the limit become ready together; the deadline bounds the time instead.
-func (p *Idempotency) claimAtEarlierHolders(ctx context.Context, rec *Record, asked []string, deadline time.Time) (Result, *Record, error) {
+func (p *Idempotency) claimAtEarlierHolders(ctx context.Context, rec *Record, asked []string, deadline time.Time) (Result, knownClaim, error) {
 	set := p.endpointSet(serviceOf(rec.ID))
 	for _, node := range asked {
 		set = withoutNode(set, node)
@@ -82,20 +82,21 @@
 	for {
 		e, _ := httpcall.SelectHolders(set, rec.ID)
 		if e == nil {
-			return ResultNew, nil, nil
+			return ResultNew, knownClaim{}, nil
 		}
 		set = withoutNode(set, e.Node)
-		answer, err := p.claimAt(ctx, httpcall.Target{Node: e.Node, Address: e.Address}, rec, deadline)
+		holder := httpcall.Target{Node: e.Node, Address: e.Address}
+		answer, err := p.claimAt(ctx, holder, rec, deadline)
 		switch {
 		case err != nil:
 			// The endpoint with the next lower hash is not asked instead: it need not have been
 			// the backup, since the backup is selected from other availability zones first.
 			p.Release(rec.ID)
-			return "", nil, errors.Wrapf(err, "record claim at the earlier holder %s", e.Node)
+			return "", knownClaim{}, errors.Wrapf(err, "record claim at the earlier holder %s", e.Node)
 		case answer.Result != ResultNew:
-			return p.handleRefusal(rec, answer)
+			return p.handleRefusal(rec, holder, answer)
 		case !answer.Recent:
-			return ResultNew, nil, nil
+			return ResultNew, knownClaim{}, nil
 		}
 	}
 }
@@ -107,17 +108,3 @@
 	}
 	return &resource.EndpointSet{Service: service}
 }
-
-// handleRefusal handles the answer of a holder that did not record a claim of this node. If the
-// holder knows the claim, this node adopts the state that the holder reports; otherwise this node
-// releases the claim.
-func (p *Idempotency) handleRefusal(rec *Record, answer *reply) (Result, *Record, error) {
-	if answer.Result == ResultKnown {
-		p.repeats.Inc()
-		r := answer.Record
-		p.c.Log.Log(evAdopted).Str("claim", rec.ID).Str("state", string(r.State)).Str("primary", r.Primary).Uint("seq", r.Seq).Uint("own_seq", rec.Seq).Send()
-		return ResultKnown, p.adoptRecord(r), nil
-	}
-	p.Release(rec.ID)
-	return answer.Result, nil, nil
-}
--- a/plugin/idempotency/message.go
+++ b/plugin/idempotency/message.go
@@ -27,6 +27,8 @@
 	opClaim = "claim"
 	// opRelease removes a claim whose call did not run.
 	opRelease = "release"
+	// opStatus asks the process that made a running claim for its state.
+	opStatus = "status"
 	// opMerge adds copies of records, or their outcomes.
 	opMerge = "merge"
 )
@@ -57,7 +59,7 @@
 	if err := json.Unmarshal(b, &m); err != nil {
 		return nil, errors.CombineErrors(errMalformedMessage, err)
 	}
-	if m.Op != opClaim && m.Op != opRelease && m.Op != opMerge {
+	if m.Op != opClaim && m.Op != opRelease && m.Op != opStatus && m.Op != opMerge {
 		return nil, errors.Wrapf(errMalformedMessage, "unknown operation %q", m.Op)
 	}
 	if len(m.Records) == 0 || m.Op != opMerge && len(m.Records) != 1 {
--- a/plugin/idempotency/plugin.go
+++ b/plugin/idempotency/plugin.go
@@ -28,6 +28,7 @@
 	evCopied         = event.Declare(850, zerolog.DebugLevel, "claims copied to their new holders")
 	evCopyFailed     = event.Declare(851, zerolog.WarnLevel, "claims could not be copied to a new holder")
 	evAdopted        = event.Declare(853, zerolog.InfoLevel, "claim of an earlier call learned from another holder")
+	evFreed          = event.Declare(854, zerolog.InfoLevel, "claim whose primary has released it is free again")
 	evMessageNotSent = event.Declare(852, zerolog.WarnLevel, "outcome or release of a claim could not be sent to another holder")
 )
 
@@ -112,15 +113,6 @@
 	return err
 }
 
-// pruneReplicas removes the replicas of claims that have expired. The caller holds mu.
-func (p *Idempotency) pruneReplicas() {
-	for id := range p.replicas {
-		if p.claims.records[id] == nil {
-			delete(p.replicas, id)
-		}
-	}
-}
-
 // Claim is the request to run a call with an Idempotency-Key. ID is the result of httpcall.ClaimID,
 // and Hash is computed as for Record.Hash.
 type Claim struct {
@@ -138,11 +130,36 @@
 // claim is then released, and the call must not run. Begin blocks for at most MessageTimeout.
 func (p *Idempotency) Begin(ctx context.Context, c Claim) (Result, *Record, error) {
 	now := time.Now()
+	deadline := earliest(now.Add(p.s.MessageTimeout.AsDuration()), c.Deadline)
 	rec := &Record{ID: c.ID, Hash: c.Hash, State: StateRunning, Primary: p.c.Instance.Name, Boot: p.boot}
+	for resolved := 0; ; resolved++ {
+		result, known, err := p.tryClaim(ctx, c, rec, deadline)
+		if err != nil || result != ResultKnown {
+			return result, nil, err
+		}
+		state := p.recordForCaller(known.record)
+		if resolved < maxResolutions && p.isRunningElsewhere(known.record) {
+			current, err := p.resolve(ctx, known, deadline)
+			if err != nil {
+				return "", nil, err
+			}
+			if current == nil {
+				continue // the earlier call has not run and will not run
+			}
+			state = current
+		}
+		p.repeats.Inc()
+		return ResultKnown, state, nil
+	}
+}
+
+// tryClaim records the claim here and at the other holders. rec gets a new Seq.
+func (p *Idempotency) tryClaim(ctx context.Context, c Claim, rec *Record, deadline time.Time) (Result, knownClaim, error) {
+	now := time.Now()
 	ttl := p.s.Keep.AsDuration() + c.Deadline.Sub(now)
 	p.mu.Lock()
 	p.seq++
-	rec.Seq = p.seq
+	rec.Seq, rec.TTL = p.seq, 0
 	p.claimedServices[serviceOf(c.ID)] = true
 	result, known := p.claims.claimOwn(rec, now, ttl)
 	if result == ResultNew {
@@ -151,15 +168,7 @@
 	recent := p.hasJoinedRecently(serviceOf(c.ID), now)
 	p.mu.Unlock()
 	if result != ResultNew {
-		if result == ResultKnown {
-			p.repeats.Inc()
-			known = p.recordForCaller(known)
-		}
-		return result, known, nil
-	}
-	deadline := now.Add(p.s.MessageTimeout.AsDuration())
-	if c.Deadline.Before(deadline) {
-		deadline = c.Deadline
+		return result, knownClaim{record: known}, nil
 	}
 	rec.TTL = ttl.Milliseconds()
 	asked := []string{p.c.Instance.Name}
@@ -167,41 +176,27 @@
 		answer, err := p.claimAt(ctx, c.Backup, rec, deadline)
 		if err != nil {
 			p.Release(rec.ID)
-			return "", nil, errors.Wrap(err, "record claim at the backup")
+			return "", knownClaim{}, errors.Wrap(err, "record claim at the backup")
 		}
 		if answer.Result != ResultNew {
-			return p.handleRefusal(rec, answer)
+			return p.handleRefusal(rec, c.Backup, answer)
 		}
 		recent = recent && answer.Recent
 		asked = append(asked, c.Backup.Node)
 	}
 	if !recent {
-		return ResultNew, nil, nil
+		return ResultNew, knownClaim{}, nil
 	}
 	return p.claimAtEarlierHolders(ctx, rec, asked, deadline)
 }
 
-// recordForCaller returns the record of a known claim with the state that the caller is to see. A
-// call that was running in another process is reported as StateUnknown, because it may have run.
-func (p *Idempotency) recordForCaller(r *Record) *Record {
-	if r.State != StateRunning || r.Primary == p.c.Instance.Name && r.Boot == p.boot {
-		return r
-	}
-	n := *r
-	n.State = StateUnknown
-	return &n
-}
-
-// adoptRecord gives this node's new claim the state of the record that another holder returned. A
-// call that was running in another process becomes StateUnknown, because it may have run.
-func (p *Idempotency) adoptRecord(r *Record) *Record {
-	s := r.State
-	if s == StateRunning {
-		s = StateUnknown
+// pruneReplicas removes the replicas of claims that have expired. The caller holds mu.
+func (p *Idempotency) pruneReplicas() {
+	for id := range p.replicas {
+		if p.claims.records[id] == nil {
+			delete(p.replicas, id)
+		}
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.claims.finish(r.ID, s, r.Reply, time.Now(), p.s.Keep.AsDuration())
 }
 
 // HasClaim reports whether this node has a record of the claim.
@@ -281,6 +276,8 @@
 	case opRelease:
 		p.claims.release(r)
 		return &reply{Result: ResultNew}
+	case opStatus:
+		return p.statusOf(r, now)
 	}
 	for i := range m.Records {
 		r := &m.Records[i]
--- a/plugin/idempotency/table.go
+++ b/plugin/idempotency/table.go
@@ -144,6 +144,20 @@
 	return &n
 }
 
+// adopt replaces the running claim own of this process, which another holder did not record, by that
+// holder's record r. If the outcome of the earlier call has arrived meanwhile, it stays. The result is the record of the table.
+func (t *claimTable) adopt(own, r *Record, now time.Time, ttl time.Duration) *Record {
+	if old := t.records[r.ID]; old != nil && !t.holds(own) {
+		return old
+	}
+	n := *r
+	if n.Reply != nil && t.answerBytes+n.Reply.size() > t.maxAnswerBytes {
+		n.State, n.Reply = StateAnswerNotStored, nil
+	}
+	t.put(&n, now.Add(ttl))
+	return &n
+}
+
 // holds reports whether the table has a record of the claim r, in any state.
 func (t *claimTable) holds(r *Record) bool {
 	old := t.records[r.ID]
--- a/plugin/idempotency/table_test.go
+++ b/plugin/idempotency/table_test.go
@@ -120,12 +120,17 @@
 	f.Add([]byte(`{"op":"claim","records":[{"id":"a\u0000b\u0000c","hash":"h","state":"running","primary":"p","boot":1,"seq":2,"ttl_ms":5}]}`))
 	f.Add([]byte(`{"op":"merge","records":[{"id":"a","hash":"h","state":"answered","primary":"p","reply":{"status":200,"body":"aGk="}}]}`))
 	f.Add([]byte(`{"result":"known","record":{"id":"a","hash":"h","state":"unknown","primary":"p"}}`))
+	f.Add([]byte(`{"op":"status","records":[{"id":"a\u0000b\u0000c","hash":"h","state":"running","primary":"p","boot":1,"seq":2}]}`))
+	f.Add([]byte(`{"op":"claim","records":[{"id":"a","hash":"h","state":"running","primary":"q","seq":1e400}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		_, _ = parseReply(b)
 		m, err := parseMessage(b)
 		if err != nil {
 			return
 		}
+		if r := newUnstarted().handleMessage(m, start); r.Result == ResultKnown && r.Record == nil {
+			t.Fatalf("answer %+v lacks the record", r)
+		}
 		c := newClaimTable(4, 100)
 		for i := range m.Records {
 			c.merge(&m.Records[i], start, time.Minute)
