session, outbound: a node that was paused serves nothing that was withdrawn meanwhile

Reported by operators of similar systems: a process that had been paused acted on a permission that had run out. It could happen here. What callers saw: a node served a route that was withdrawn 3 s and 6 s before, right after it resumed. Cause: after a pause, calls that wait at the node are handled before it has read what its control instance has sent, or noticed that its session is closed. Change: a gap between two activities of the process shows a pause; calls then wait until a statement from after the pause confirms the configuration, for 0.5 s at most, so that a node that is cut off goes on serving.

--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -77,6 +77,9 @@
 	// configurationAge returns how long ago the configuration is known to have been the newest one; nil without the
 	// plug-in session, whose view is then taken as current.
 	configurationAge func() (age time.Duration, known bool)
+	// awaitAfterPause blocks calls while the configuration has not been confirmed since a pause of this process; nil
+	// without the plug-in session.
+	awaitAfterPause func(context.Context)
 	// routesDenied and routesUncertain count the calls without a route that were answered with 404 and 503.
 	routesDenied, routesUncertain *metrics.Counter
 	dispatches                    *metrics.Counter
@@ -114,7 +117,7 @@
 	o.metricsByOrganisation.Store(&map[string]*callMetrics{})
 	o.view.Watch(o.applySnapshot)
 	if s, ok := kernel.Find[*session.Session](c, "session"); ok {
-		o.configurationAge = s.ConfigurationAge
+		o.configurationAge, o.awaitAfterPause = s.ConfigurationAge, s.AwaitAfterPause
 		s.SetLoadCallbacks(
 			func() []string { return o.table.recentServices(time.Now()) },
 			func(list []peerapi.ServiceLoads) { o.table.applyReports(list, time.Now()) })
@@ -188,6 +191,9 @@
 	if info.Timeout > 0 {
 		c.deadline = c.startedAt.Add(info.Timeout)
 	}
+	if o.awaitAfterPause != nil {
+		o.awaitAfterPause(r.Context())
+	}
 	snapshot := o.view.Current()
 	if snapshot == nil || len(snapshot.Routes) == 0 {
 		c.respondError(http.StatusServiceUnavailable, verdict.NotRun, "this node holds no configuration yet")
--- a/plugin/session/currency.go
+++ b/plugin/session/currency.go
@@ -62,7 +62,10 @@
 	now := s.c.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.currency.confirmedAt), !s.currency.confirmedAt.IsZero()
+	if s.currency.confirmedAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(s.currency.confirmedAt), true
 }
 
 // receiveCurrency takes note of the statement in an answer to a request that was sent at sentAt.
@@ -74,4 +77,5 @@
 		held = v.Version
 	}
 	s.currency.receive(m, sentAt, held)
+	s.pauses.confirm(s.currency.confirmedAt)
 }
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -31,6 +31,7 @@
 	evMoved      = event.Declare(604, zerolog.InfoLevel, "moving the session to a preferred control instance")
 	evNoInstance = event.Declare(605, zerolog.ErrorLevel, "settings name no control instance")
 	evNotMoved   = event.Declare(606, zerolog.InfoLevel, "no preferable control instance found; the session stays")
+	evPaused     = event.Declare(608, zerolog.WarnLevel, "process did not run for a while; calls wait until the configuration is confirmed")
 	evUpdated    = event.Declare(607, zerolog.InfoLevel, "configuration is in force")
 )
 
@@ -90,6 +91,7 @@
 	// consecutiveRefusals counts the refused sessions since the last one that started.
 	consecutiveRefusals int
 	currency            currency
+	pauses              pauseWatch
 
 	attachments *metrics.Counter
 }
@@ -98,6 +100,7 @@
 	s := &Session{
 		c: c, s: c.Settings.(*Settings), peer: kernel.MustFind[*peer.Peer](c, "peer"), view: kernel.MustFind[api.View](c, "view"),
 		trace: trace.Find(c), incarnation: uint64(c.Clock.Now().UnixMilli()), mu: rank.NewMutex(rank.Session),
+		pauses:      pauseWatch{maxGap: c.Settings.(*Settings).PingInterval.AsDuration() + maxDelay},
 		attachments: c.Metrics.NewCounter("celeryyard_session_attachments_total"),
 	}
 	c.Metrics.NewGauge("celeryyard_session_attached", func() float64 {
@@ -158,7 +161,7 @@
 	s.mu.Lock()
 	s.link = link
 	s.mu.Unlock()
-	s.c.RunEvery("session/ping", s.s.PingInterval.AsDuration(), s.sendPing)
+	s.c.RunEvery("session/ping", s.s.PingInterval.AsDuration(), func() { s.observeActivity(); s.sendPing() })
 	s.scheduleMove()
 	return nil
 }
@@ -325,6 +328,7 @@
 	}
 	s.mu.Lock()
 	s.currency.apply(a.Version)
+	s.pauses.confirm(s.currency.confirmedAt)
 	s.mu.Unlock()
 	if err == nil && m.Delta != nil {
 		s.c.Log.Log(evUpdated).Str("process", c.Peer).Uint("version", uint64(a.Version)).Uint("previous", uint64(m.Delta.From)).
--- a/test/e2e/routemiss_test.go
+++ b/test/e2e/routemiss_test.go
@@ -93,6 +93,36 @@
 	}
 }
 
+// Guards against a node that was paused while a route was withdrawn, and serves it once it resumes. The pause is longer than
+// the time after which control instances close the session of a silent node.
+func TestPausedNodeServesNoWithdrawnRoute(t *testing.T) {
+	f := startFleet(t, false)
+	node, address := f.Nodes[0], f.Plan.Nodes[0].CallersAddress
+	for i, pause := range []time.Duration{convergeWithin, 2 * convergeWithin} {
+		team := layout.Service{Name: fmt.Sprintf("withdrawn-team-%d", i), Organisation: "tacto-norte"}
+		f.addRoute(team)
+		stale := f.SubmitChange("probe-"+team.Name, team.Organisation, "withdraw", team.Name, 1<<40, nil) // refused with the revision
+		harness.WaitUntil(t, recoveryTimeout, "the node serves the route", func() bool { return statusFor(address, team.Host()) == http.StatusOK })
+		node.Freeze()
+		d := f.SubmitChange("withdraw-"+team.Name, team.Organisation, "withdraw", team.Name, stale.Revision, nil)
+		if d.State != "accepted" {
+			t.Fatalf("withdrawal: %+v", d)
+		}
+		time.Sleep(pause)
+		first := make(chan int, 8)
+		for range cap(first) {
+			go func() { first <- statusFor(address, team.Host()) }()
+		}
+		time.Sleep(50 * time.Millisecond) // the requests wait at the node
+		node.Thaw()
+		for range cap(first) {
+			if status := <-first; status == http.StatusOK {
+				t.Errorf("the node serves a route that was withdrawn %v before it resumed", pause)
+			}
+		}
+	}
+}
+
 // addRoute adds a team with a route to the service catalogo, and returns when it was accepted.
 func (f *fleet) addRoute(team layout.Service) time.Time {
 	f.t.Helper()
--- a/test/harness/change.go
+++ b/test/harness/change.go
@@ -28,12 +28,15 @@
 	Sent time.Time `json:"-"`
 }
 
-// SubmitChange submits a change to a team over the operators' API and returns the decision. Like the
+// SubmitChange submits a change to a team over the operators' API and returns the decision. body is nil for a withdrawal. Like the
 // operators' command, it resends the change under the same ID to one control instance after another
 // until the change is decided. It fails the test if that takes longer than decisionTimeout.
 func (f *Fleet) SubmitChange(id, organisation, action, name string, expectedRevision uint64, body any) Decision {
 	f.t.Helper()
-	request := map[string]any{"id": id, "kind": "team", "action": action, "name": name, "body": body}
+	request := map[string]any{"id": id, "kind": "team", "action": action, "name": name}
+	if body != nil {
+		request["body"] = body
+	}
 	if expectedRevision != 0 {
 		request["expected_revision"] = expectedRevision
 	}
