--- a/test/dataplane/once_test.go
+++ b/test/dataplane/once_test.go
@@ -124,6 +124,21 @@
 	return ""
 }
 
+// findFirstViolation counts the answers in outcomes by status, verdict and claim, and returns the first violation of the
+// guarantees, or "" if there is none. answers holds the answers to each of the calls.
+func findFirstViolation(executions *executionCounter, calls []randomCall, answers [][]answer, outcomes map[string]int) string {
+	first := ""
+	for i, c := range calls {
+		for _, a := range answers[i] {
+			outcomes[fmt.Sprintf("%d %s %s", a.status, a.verdict, a.claim)]++
+		}
+		if first == "" {
+			first = c.findViolation(executions, answers[i])
+		}
+	}
+	return first
+}
+
 // perform makes the call and its repeats, and returns all answers.
 func (c randomCall) perform(f *fleet) []answer {
 	var answers []answer
@@ -181,15 +196,7 @@
 		}
 		wg.Wait()
 		time.Sleep(100 * time.Millisecond) // wait for executions that end after their calls
-		for i, c := range calls {
-			for _, a := range answers[i] {
-				outcomes[fmt.Sprintf("%d %s %s", a.status, a.verdict, a.claim)]++
-			}
-			if msg := c.findViolation(executions, answers[i]); msg != "" {
-				return msg
-			}
-		}
-		return ""
+		return findFirstViolation(executions, calls, answers, outcomes)
 	}, gen.UInt64()))
 	props.TestingRun(t)
 	t.Logf("answers by status, verdict and claim: %v", outcomes)
--- a/test/dataplane/pause_test.go
+++ b/test/dataplane/pause_test.go
@@ -74,15 +74,7 @@
 		}
 		wg.Wait()
 		time.Sleep(500 * time.Millisecond) // wait for executions that end after their calls
-		for i, c := range calls {
-			for _, a := range answers[i] {
-				outcomes[fmt.Sprintf("%d %s %s", a.status, a.verdict, a.claim)]++
-			}
-			if msg := c.findViolation(executions, answers[i]); msg != "" {
-				return msg
-			}
-		}
-		return ""
+		return findFirstViolation(executions, calls, answers, outcomes)
 	}, gen.UInt64()))
 	props.TestingRun(t)
 	t.Logf("answers by status, verdict and claim: %v", outcomes)
