--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -117,7 +117,8 @@
 	// syncingVersion is the version that is being synced; it equals releasedVersion while no sync is
 	// running.
 	releasedVersion, syncingVersion resource.Version
-	currency                        currency
+	// currency is how current the configuration of this instance is.
+	currency currency
 
 	updates     *metrics.Counter
 	updateBytes *metrics.Counter
--- a/plugin/outbound/setup.go
+++ b/plugin/outbound/setup.go
@@ -18,7 +18,8 @@
 				Workers: 256, Queue: 256,
 				ClientIdle: settings.Duration(30 * time.Second), CallerIdle: settings.Duration(2 * time.Minute),
 				DialTimeout: settings.Duration(time.Second), SilenceTimeout: settings.Duration(10 * time.Second), MaxIdleConnsPerEndpoint: 16,
-				ConvergeWithin: settings.Duration(3 * time.Second), WaitShare: 0.5, RetryAllowance: defaultMinRetries, RetryWindow: settings.Duration(defaultRetryWindow),
+				ConvergeWithin: settings.Duration(3 * time.Second),
+				WaitShare:      0.5, RetryAllowance: defaultMinRetries, RetryWindow: settings.Duration(defaultRetryWindow),
 			}
 		},
 		New: func(c *kernel.Context) (kernel.Plugin, error) { return newOutbound(c), nil },
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -31,8 +31,8 @@
 	evMoved      = event.Declare(604, zerolog.InfoLevel, "moving the session to a preferred control instance")
 	evNoInstance = event.Declare(605, zerolog.ErrorLevel, "settings name no control instance")
 	evNotMoved   = event.Declare(606, zerolog.InfoLevel, "no preferable control instance found; the session stays")
-	evPaused     = event.Declare(608, zerolog.WarnLevel, "process did not run for a while; calls wait until the configuration is confirmed")
 	evUpdated    = event.Declare(607, zerolog.InfoLevel, "configuration is in force")
+	evPaused     = event.Declare(608, zerolog.WarnLevel, "process did not run for a while; calls wait until the configuration is confirmed")
 )
 
 // Bounds of the backoff after refused sessions. A longer pause than 1 s would leave too little of the 3 s
@@ -90,8 +90,9 @@
 	failedLeaves int
 	// consecutiveRefusals counts the refused sessions since the last one that started.
 	consecutiveRefusals int
-	currency            currency
-	pauses              pauseWatch
+	// currency is how current the held configuration is. pauses detects that this process did not run.
+	currency currency
+	pauses   pauseWatch
 
 	attachments *metrics.Counter
 }
