--- a/test/dataplane/pause_test.go
+++ b/test/dataplane/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -80,3 +81,44 @@
 	props.TestingRun(t)
 	t.Logf("answers by status, verdict and claim: %v", outcomes)
 }
+
+// Guards against a call that is run again elsewhere, or given up, because the node at which it runs is silent for a
+// while, and is held as lost by the others for a part of that time.
+func TestSilentNodeKeepsItsRunningCalls(t *testing.T) {
+	executions := &executionCounter{counts: map[string]int{}}
+	started := make(chan struct{}, 8)
+	slow := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		time.Sleep(400 * time.Millisecond)
+		executions.ServeHTTP(w, r)
+	})
+	f := newFleet(t, 8)
+	silent := f.addNode("n0", "z1", slow)
+	caller := f.addNode("caller", "z1", nil)
+	const calls = 8
+	answers := make(chan answer, calls)
+	for i := range calls {
+		header := []string{}
+		if i%2 == 1 {
+			header = []string{"idempotency-key", fmt.Sprintf("k%d", i)}
+		}
+		go func() {
+			answers <- caller.call("POST", "north", fmt.Sprintf("/s%d", i), fmt.Sprintf("s%d-body", i), header...)
+		}()
+	}
+	for range calls {
+		<-started
+	}
+	f.addNode("n1", "z2", slow) // could run the calls instead
+	f.pauseNode(silent, 700*time.Millisecond, true)
+	for range calls {
+		if got := <-answers; got.err != nil || got.status != http.StatusOK {
+			t.Errorf("a call that ran to its end: %+v", got)
+		}
+	}
+	for i := range calls {
+		if n := executions.count(fmt.Sprintf("s%d", i)); n != 1 {
+			t.Errorf("call %d ran %d times", i, n)
+		}
+	}
+}
