--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -110,6 +110,12 @@
 		}
 		return 0
 	})
+	c.Metrics.NewGauge("celeryyard_configuration_age_seconds", func() float64 {
+		if age, known := s.ConfigurationAge(); known {
+			return age.Seconds()
+		}
+		return -1
+	})
 	s.peer.Handle(peerapi.NodeUpdate, s.onUpdate)
 	s.peer.OnInstanceUpdate(func(peer.Member) { s.updateInstances() })
 	s.peer.OnClose(s.onClose)
--- a/test/dataplane/bytes_test.go
+++ b/test/dataplane/bytes_test.go
@@ -150,7 +150,7 @@
 // net/http cannot send such a target unchanged.
 func (q rawRequest) mayBeRefused() bool {
 	path, _, _ := strings.Cut(q.target, "?")
-	return strings.HasPrefix(path, "//") && strings.ContainsAny(path, "|{}\"^`\\<>#\xc3\xa9\xff")
+	return strings.HasPrefix(path, "//") && strings.ContainsFunc(path, func(r rune) bool { return r >= 0x80 || strings.ContainsRune("|{}\"^`\\<>#", r) })
 }
 
 // sendRaw sends bytes on a connection of their own and returns the status of the answer; 0 if there is none.
