--- a/test/dataplane/once_test.go
+++ b/test/dataplane/once_test.go
@@ -166,14 +166,41 @@
 // truncated answers, timeouts, cancellations, rejections and repeats with planned stops and crashes
 // of nodes.
 func TestAtMostOnceUnderFaults(t *testing.T) {
+	randomCalls{
+		seed: 4, runs: 25, gapMillis: 4, settle: 100 * time.Millisecond,
+		newCall: newRandomCall,
+		disturb: func(f *fleet, r *rand.Rand, i, n int) {
+			if i == n/2 {
+				f.injectFault(r)
+			}
+		},
+	}.check(t)
+}
+
+// randomCalls is a property test with random calls to a fleet of four nodes in two zones.
+type randomCalls struct {
+	seed int64
+	// runs is the number of sequences of calls.
+	runs int
+	// gapMillis bounds the pause between two calls, and settle is the time after the last one.
+	gapMillis int
+	settle    time.Duration
+	newCall   func(r *rand.Rand, id string) randomCall
+	// disturb is called once the i-th of n calls has begun.
+	disturb func(f *fleet, r *rand.Rand, i, n int)
+}
+
+// check makes the calls and compares their answers with the executions.
+func (p randomCalls) check(t *testing.T) {
 	executions := &executionCounter{counts: map[string]int{}}
 	f := newFleet(t, 3)
 	for i, zone := range []string{"z1", "z1", "z2", "z2"} {
 		f.addNode(fmt.Sprintf("n%d", i), zone, executions)
 	}
 	f.cluster.RetryBudgetPercent = 100
-	params := gopter.DefaultTestParametersWithSeed(4)
-	params.MinSuccessfulTests = 25
+	f.publish()
+	params := gopter.DefaultTestParametersWithSeed(p.seed)
+	params.MinSuccessfulTests = p.runs
 	var lastID atomic.Int64
 	outcomes := map[string]int{}
 	props := gopter.NewProperties(params)
@@ -183,19 +210,13 @@
 		calls := make([]randomCall, 48)
 		answers := make([][]answer, len(calls))
 		for i := range calls {
-			calls[i] = newRandomCall(r, fmt.Sprintf("c%d", lastID.Add(1)))
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				answers[i] = calls[i].perform(f)
-			}()
-			time.Sleep(time.Duration(r.IntN(4)) * time.Millisecond)
-			if i == len(calls)/2 {
-				f.injectFault(r)
-			}
+			calls[i] = p.newCall(r, fmt.Sprintf("c%d", lastID.Add(1)))
+			wg.Go(func() { answers[i] = calls[i].perform(f) })
+			time.Sleep(time.Duration(r.IntN(p.gapMillis)) * time.Millisecond)
+			p.disturb(f, r, i, len(calls))
 		}
 		wg.Wait()
-		time.Sleep(100 * time.Millisecond) // wait for executions that end after their calls
+		time.Sleep(p.settle) // wait for executions that end after their calls
 		return findFirstViolation(executions, calls, answers, outcomes)
 	}, gen.UInt64()))
 	props.TestingRun(t)
--- a/test/dataplane/pause_test.go
+++ b/test/dataplane/pause_test.go
@@ -5,14 +5,9 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/leanovate/gopter"
-	"github.com/leanovate/gopter/gen"
-	"github.com/leanovate/gopter/prop"
-
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
@@ -35,51 +30,28 @@
 // Guards against a node that was paused for longer than the calls that wait for it may take, and then runs one that was
 // run elsewhere meanwhile, or whose caller was told that it has not run.
 func TestAtMostOnceUnderPauses(t *testing.T) {
-	executions := &executionCounter{counts: map[string]int{}}
-	f := newFleet(t, 3)
-	for i, zone := range []string{"z1", "z1", "z2", "z2"} {
-		f.addNode(fmt.Sprintf("n%d", i), zone, executions)
-	}
-	f.cluster.RetryBudgetPercent = 100
-	f.publish()
-	params := gopter.DefaultTestParametersWithSeed(21)
-	params.MinSuccessfulTests = 12
-	var lastID atomic.Int64
-	outcomes := map[string]int{}
-	props := gopter.NewProperties(params)
-	props.Property("each call runs at most once and gets a correct verdict", prop.ForAll(func(seed uint64) string {
-		r := rand.New(rand.NewPCG(seed, 2))
-		var wg sync.WaitGroup
-		calls := make([]randomCall, 48)
-		answers := make([][]answer, len(calls))
-		for i := range calls {
-			calls[i] = newRandomCall(r, fmt.Sprintf("p%d", lastID.Add(1)))
-			calls[i].otherNodes = true
-			if calls[i].key != "" {
-				calls[i].repeats += 2 // so that some follow the pause
+	var pauses sync.WaitGroup
+	defer pauses.Wait()
+	randomCalls{
+		seed: 21, runs: 12, gapMillis: 8, settle: 500 * time.Millisecond,
+		newCall: func(r *rand.Rand, id string) randomCall {
+			c := newRandomCall(r, id)
+			c.otherNodes = true
+			if c.key != "" {
+				c.repeats += 2 // so that some follow the pause
 			}
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				answers[i] = calls[i].perform(f)
-			}()
-			time.Sleep(time.Duration(r.IntN(8)) * time.Millisecond)
-			if i == len(calls)/4 {
-				// One node at a time: claims survive the loss of one of their two holders.
-				n, d, replaced := f.nodes[r.IntN(len(f.nodes))], time.Duration(100+r.IntN(700))*time.Millisecond, r.IntN(2) == 0
-				wg.Add(1)
-				go func() {
-					defer wg.Done()
-					f.pauseNode(n, d, replaced)
-				}()
+			return c
+		},
+		disturb: func(f *fleet, r *rand.Rand, i, n int) {
+			if i != n/4 {
+				return
 			}
-		}
-		wg.Wait()
-		time.Sleep(500 * time.Millisecond) // wait for executions that end after their calls
-		return findFirstViolation(executions, calls, answers, outcomes)
-	}, gen.UInt64()))
-	props.TestingRun(t)
-	t.Logf("answers by status, verdict and claim: %v", outcomes)
+			// One node at a time: claims survive the loss of one of their two holders.
+			pauses.Wait()
+			paused, d, replaced := f.nodes[r.IntN(len(f.nodes))], time.Duration(100+r.IntN(700))*time.Millisecond, r.IntN(2) == 0
+			pauses.Go(func() { f.pauseNode(paused, d, replaced) })
+		},
+	}.check(t)
 }
 
 // Guards against a call that is run again elsewhere, or given up, because the node at which it runs is silent for a
