--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -22,6 +22,7 @@
 	service  string
 	born     int64
 	work     time.Duration
+	slow     map[string]time.Duration // work of requests by target, if it differs
 	slots    int
 	server   *http.Server
 	listener net.Listener
@@ -134,6 +135,9 @@
 	e.begin(r, len(body))
 	left, _ := strconv.Atoi(r.Header.Get("X-Celeryyard-Deadline-Ms"))
 	work := e.work
+	if w, ok := e.slow[r.RequestURI]; ok {
+		work = w
+	}
 	if left > 0 {
 		work = min(work, time.Duration(left)*time.Millisecond)
 	}
