--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -46,11 +47,12 @@
 	if _, err := io.WriteString(nc, head+"\r\n"+body); err != nil {
 		return answer{err: err}
 	}
-	return readAnswer(bufio.NewReader(nc), method)
+	return readAnswer(nc, method)
 }
 
-func readAnswer(br *bufio.Reader, method string) answer {
-	resp, err := http.ReadResponse(br, &http.Request{Method: method})
+// readAnswer reads the answer to a request from a connection.
+func readAnswer(nc net.Conn, method string) answer {
+	resp, err := httphead.NewReader(nc, httphead.ExternalLimits).ReadResponse(&http.Request{Method: method})
 	if err != nil {
 		return answer{err: err}
 	}
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 // endpoint is a sound endpoint beside a node.
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.server, e.listener = &http.Server{Handler: e}, l
+	e.server, e.listener = &http.Server{Handler: e, MaxHeaderBytes: httphead.MaxBytes}, l
 	go func() { _ = e.server.Serve(l) }()
 	go e.beat()
 	return e, nil
@@ -89,7 +91,7 @@
 	r, _ := http.NewRequestWithContext(ctx, method, "http://"+e.f.address(e.m, e.f.ports.control)+"/celeryyard/instances/"+e.id, bytes.NewReader(body))
 	r.Header.Set("Content-Type", "application/json")
 	status := 0
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := e.f.http.Do(r)
 	if err == nil {
 		status = resp.StatusCode
 		_, _ = io.Copy(io.Discard, resp.Body)
@@ -171,10 +173,3 @@
 	defer e.mu.Unlock()
 	return slices.Clone(e.runs)
 }
-
-// silence ends the heartbeats.
-func (e *endpoint) silence() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.silent = true
-}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -21,6 +21,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 // ports are the same on all machines of a deployment.
@@ -44,6 +46,7 @@
 	seeds    []string
 	first    bool
 	began    time.Time
+	http     *http.Client // of the operator, the platform and the endpoints
 
 	mu     sync.Mutex
 	record io.Writer
@@ -68,6 +71,7 @@
 		return nil, err
 	}
 	f := &fleet{folder: folder, record: record, began: time.Now(), first: true}
+	f.http = &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: httphead.MaxBytes}}
 	current = f
 	if err := f.findAddresses(3 + len(services)); err != nil {
 		return nil, err
@@ -292,7 +296,7 @@
 		return 0, nil
 	}
 	r.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := f.http.Do(r)
 	if err != nil {
 		return 0, []byte(err.Error())
 	}
@@ -350,7 +354,7 @@
 func (f *fleet) awaitReady(m *machine, within time.Duration) bool {
 	end := time.Now().Add(within)
 	for time.Now().Before(end) {
-		resp, err := http.Get("http://" + f.address(m, f.ports.ready) + "/celeryyard/readyz")
+		resp, err := f.http.Get("http://" + f.address(m, f.ports.ready) + "/celeryyard/readyz")
 		if err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == 200 {
--- a/review/standin-2/keyed.go
+++ b/review/standin-2/keyed.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -94,5 +93,5 @@
 	if _, err := fmt.Fprintf(nc, "POST /search/1 HTTP/1.1\r\nHost: shop.example\r\nX-Celeryyard-Attempt-Id: %s\r\nX-Celeryyard-Deadline-Ms: %d\r\nIdempotency-Key: %s\r\nContent-Length: 5\r\n\r\nquery", id, left.Milliseconds(), key); err != nil {
 		return answer{err: err}
 	}
-	return readAnswer(bufio.NewReader(nc), "POST")
+	return readAnswer(nc, "POST")
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,7 +21,7 @@
 
 // scenarios by name; each returns an exit code and what it saw.
 var scenarios = map[string]func(record io.Writer, trouble bool) (int, string){
-	"forgotten-end": forgottenEnd, "first-start": firstStart, "reused-address": reusedAddress, "queued-at-stop": queuedAtStop, "foreign-answer": foreignAnswer,
+	"first-start": firstStart, "cut-upload": cutUpload, "reused-address": reusedAddress, "queued-at-stop": queuedAtStop, "foreign-answer": foreignAnswer,
 }
 
 func main() {
--- a/review/standin-2/start.go
+++ b/review/standin-2/start.go
@@ -15,6 +15,7 @@
 		{"report", "shop.example", "/report/", "safe", "12000ms", "9000ms", 2, "svc-a", 2},
 		{"order", "shop.example", "/order/", "unsafe", "2000ms", "500ms", 1, "svc-a", 2},
 		{"booking", "shop.example", "/booking/", "unsafe", "9500ms", "2000ms", 1, "svc-a", 2},
+		{"upload", "shop.example", "/upload/", "unsafe", "6000ms", "2500ms", 1, "svc-a", 2},
 		{"claim", "shop.example", "/claim/", "unsafe", "1000ms", "300ms", 0, "svc-b", 2},
 	}
 )
