--- a/review/standin-2/firststart.go
+++ b/review/standin-2/firststart.go
@@ -6,16 +6,30 @@
 	"time"
 )
 
-const (
-	// killAfter is the time from the first start to the kill.
-	killAfter = 250 * time.Millisecond
-	// patience is how long the operator sends the first configuration.
-	patience = 60 * time.Second
-)
+// patience is how long the operator sends the first configuration.
+const patience = 60 * time.Second
+
+// killAfter are the times from the first start of a deployment to the kill, each with a deployment of its own.
+var killAfter = []time.Duration{250 * time.Millisecond, 200 * time.Millisecond, 150 * time.Millisecond, 100 * time.Millisecond}
 
 // firstStart shows whether a deployment comes to life when all processes of the core are killed right after its first start
-// and are back within a second, with their disks.
+// and are back within a second, with their disks. It ends with the first deployment that doesn't.
 func firstStart(record io.Writer, trouble bool) (int, string) {
+	all := ""
+	for _, after := range killAfter {
+		code, seen := startAndKill(record, after, trouble)
+		if trouble {
+			seen = fmt.Sprintf("killed %v after the start: %s", after, seen)
+		}
+		all += seen + "; "
+		if code != held {
+			return code, all
+		}
+	}
+	return held, all
+}
+
+func startAndKill(record io.Writer, after time.Duration, trouble bool) (int, string) {
 	f, err := newFleet(record, "svc-a", "svc-a", "svc-b")
 	if err != nil {
 		return failed, err.Error()
@@ -30,7 +44,7 @@
 			return failed, err.Error()
 		}
 	}
-	time.Sleep(killAfter)
+	time.Sleep(after)
 	if trouble {
 		f.kill(f.cores()...)
 		time.Sleep(500 * time.Millisecond)
