inbound, announce: calls run only at the upstream they were admitted for

Cause: inbound read service, address and slots when a call was admitted and the upstream's ID when it was sent, so the ID named the newcomer. Queue, slots and statistics belonged to the address and were inherited.

Change: announce gives one value with a generation (api.Upstream). inbound keeps slots, queue and statistics for each generation, and compares the generation before it sends. Events 712 and 801 tell the replacement.

Ruled out: late heartbeats of the silent endpoint (none were sent), and a wrong choice at the caller's node.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -161,19 +161,31 @@
 	Status(timeout time.Duration, done func([]InstanceStatus))
 }
 
+// Upstream describes the upstream beside a node at one moment. Its fields belong together: a call that is admitted for
+// one upstream must not be sent to the next one that gets the address. The zero value means that there is none.
+type Upstream struct {
+	// Generation identifies the upstream during the life of the process. It increases whenever another upstream, or
+	// a new start of the same one, takes its place.
+	Generation uint64
+	// ID is the ID that the upstream has chosen for itself, or "" if it has none.
+	ID string
+	// Service is the name of the service that the upstream belongs to.
+	Service string
+	// Address is the IP:port of the upstream on the same host as the node.
+	Address string
+	// Slots is the number of calls that the upstream handles concurrently.
+	Slots int
+	// Closed is set when the upstream no longer accepts new calls.
+	Closed bool
+}
+
 // Announcer announces the node's upstream, provided by the plug-in "announce".
 type Announcer interface {
-	// Endpoint returns the current record of the upstream, which may not have been announced yet.
-	// The field Node of the record is empty if the node has had no upstream yet.
-	Endpoint() resource.Endpoint
-	// UpstreamAddress returns the address (IP:port) of the upstream on the same host as the node,
-	// or "" if the node has none.
-	UpstreamAddress() string
-	// UpstreamID returns the ID that the upstream has chosen for itself, or "" if it has
-	// none.
-	UpstreamID() string
-	// IsUpstreamClosed reports whether the upstream no longer accepts new calls.
-	IsUpstreamClosed() bool
+	// Upstream returns the current upstream.
+	Upstream() Upstream
+	// OnUpstreamChange sets the function that is called after the upstream was replaced, or has closed or opened again.
+	// Calls may overlap, so f reads the current upstream itself. No lock is held. OnUpstreamChange must be called before Start.
+	OnUpstreamChange(f func())
 	// HandleMisdirected is called when another upstream than the one with the given ID answers at its
 	// address.
 	HandleMisdirected(id string)
--- a/plugin/announce/plugin.go
+++ b/plugin/announce/plugin.go
@@ -31,6 +31,7 @@
 	evLateReport  = event.Declare(708, zerolog.InfoLevel, "heartbeat ignored: outdated, or of another upstream than the live one")
 	evSilent      = event.Declare(709, zerolog.WarnLevel, "upstream stopped sending heartbeats")
 	evLeft        = event.Declare(706, zerolog.InfoLevel, "planned stop of the upstream is complete")
+	evReplaced    = event.Declare(712, zerolog.InfoLevel, "upstream replaced by another one or by a new start")
 	evDisproved   = event.Declare(711, zerolog.WarnLevel, "another upstream answers at the address than the one that claimed it last")
 	evKnownClosed = event.Declare(710, zerolog.InfoLevel, "upstream has closed before this node was restarted")
 )
@@ -48,12 +49,16 @@
 	client  *http.Client
 	ctx     context.Context
 	onLeave func(done func())
+	// onUpstreamChange is called without mu.
+	onUpstreamChange func()
 
 	// mu guards everything below.
-	mu        *rank.Mutex
-	upstream  Upstream
-	announcer announcer
-	health    *health
+	mu       *rank.Mutex
+	upstream Upstream
+	// generation is that of the current upstream; see api.Upstream.
+	generation uint64
+	announcer  announcer
+	health     *health
 	// probeGen increases with each change of the upstream; results of probes from an earlier
 	// generation are ignored.
 	probeGen uint64
@@ -76,7 +81,7 @@
 func newAnnounce(c *kernel.Context) *Announce {
 	a := &Announce{
 		c: c, s: c.Settings.(*Settings), session: kernel.MustFind[*session.Session](c, "session"), mu: rank.NewMutex(rank.Announce),
-		onLeave: func(done func()) { done() }, recorded: make(chan struct{}),
+		onLeave: func(done func()) { done() }, onUpstreamChange: func() {}, recorded: make(chan struct{}),
 		announcements: c.Metrics.NewCounter("celeryyard_announce_announcements_total"),
 		probes:        c.Metrics.NewCounter("celeryyard_announce_probes_total"),
 	}
@@ -94,20 +99,27 @@
 	return a
 }
 
-// Endpoint implements api.Announcer.
+// Endpoint returns the current record of the upstream, which may not have been announced yet. The field Node of the
+// record is empty if the node has had no upstream yet.
 func (a *Announce) Endpoint() resource.Endpoint {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.announcer.desiredRecord
 }
 
-// UpstreamAddress implements api.Announcer.
-func (a *Announce) UpstreamAddress() string {
+// Upstream implements api.Announcer.
+func (a *Announce) Upstream() api.Upstream {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.upstream.Address
+	return api.Upstream{
+		Generation: a.generation, ID: a.heartbeats.latestReport.ID, Service: a.upstream.Service, Address: a.upstream.Address,
+		Slots: a.upstream.Slots, Closed: a.heartbeats.upstreamClosed,
+	}
 }
 
+// OnUpstreamChange implements api.Announcer.
+func (a *Announce) OnUpstreamChange(f func()) { a.onUpstreamChange = f }
+
 // IsDraining implements api.Announcer.
 func (a *Announce) IsDraining() bool {
 	a.mu.Lock()
@@ -164,6 +176,9 @@
 		a.mu.Unlock()
 		return true
 	}
+	if a.stop != nil || a.upstream.Service != u.Service || a.upstream.Address != u.Address {
+		a.generation++
+	}
 	a.upstream, a.stop = u, nil
 	a.probeGen++
 	gen, previous := a.probeGen, a.announcer.desiredRecord
@@ -178,6 +193,7 @@
 		a.announcer.setState(resource.StateReady, now.UnixMilli())
 	}
 	a.mu.Unlock()
+	a.onUpstreamChange()
 	a.announce()
 	if u.HealthPath != "" {
 		a.startProbe(u, gen)
--- a/plugin/announce/report.go
+++ b/plugin/announce/report.go
@@ -184,6 +184,7 @@
 	}
 	a.mu.Unlock()
 	a.c.Log.Log(evDisproved).Str("upstream", r.ID).Str("claimed_by", id).Send()
+	a.onUpstreamChange()
 	a.announce()
 }
 
@@ -201,9 +202,12 @@
 		a.c.Log.Log(evLateReport).Str("upstream", r.ID).Str("service", r.Service).Uint("sequence", r.Sequence).Str("known_upstream", before.latestReport.ID).Send()
 		return false
 	}
+	previous, generation := a.upstream, a.generation
 	if r.ID != before.latestReport.ID || r.StartedAtMillis != before.latestReport.StartedAtMillis {
 		a.replaceUpstream(r, now)
 	}
+	replaced := a.generation != generation
+	closureChanged := a.heartbeats.upstreamClosed != before.upstreamClosed
 	adopted := r.Gone && a.adoptKnownRecord()
 	state := resource.StateReady
 	if a.heartbeats.upstreamClosed {
@@ -224,6 +228,13 @@
 		a.c.Log.Log(evReport).Str("upstream", r.ID).Str("state", string(state)).Uint("sequence", r.Sequence).
 			Int("cold_ms", int(r.SlowFor.Milliseconds())).Send()
 	}
+	if replaced {
+		a.c.Log.Log(evReplaced).Str("upstream", r.ID).Str("service", r.Service).
+			Str("before", before.latestReport.ID).Str("service_before", previous.Service).Send()
+	}
+	if replaced || closureChanged {
+		a.onUpstreamChange()
+	}
 	if announce {
 		a.announce()
 	}
@@ -248,6 +259,7 @@
 		return
 	}
 	a.upstream = Upstream{Service: r.Service, Address: r.Address, Slots: r.Slots}
+	a.generation++
 	previous := a.announcer.desiredRecord
 	a.announcer.desiredRecord = resource.Endpoint{
 		Node: a.c.Instance.Name, Service: r.Service, Address: a.s.Address, Slots: r.Slots,
@@ -278,25 +290,11 @@
 	}
 }
 
-// UpstreamID implements api.Announcer.
-func (a *Announce) UpstreamID() string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.heartbeats.latestReport.ID
-}
-
-// IsUpstreamClosed implements api.Announcer.
-func (a *Announce) IsUpstreamClosed() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.heartbeats.upstreamClosed
-}
-
 // Drain implements kernel.Drainer. The planned stop begins while the process still serves its own
 // callers, which need some time to move away. Until LeaveDelay has passed, the upstream accepts
 // calls from other nodes. If the process has to stop earlier, the planned stop begins then.
 func (a *Announce) Drain() {
-	if a.s.LeaveDelay <= 0 || a.IsUpstreamClosed() {
+	if a.s.LeaveDelay <= 0 || a.Upstream().Closed {
 		a.Leave(func() {})
 		return
 	}
--- a/plugin/announce/restore.go
+++ b/plugin/announce/restore.go
@@ -55,6 +55,7 @@
 	a.mu.Unlock()
 	if closed {
 		a.c.Log.Log(evKnownClosed).Str("upstream", id).Send()
+		a.onUpstreamChange()
 	}
 	a.announce()
 }
--- a/plugin/inbound/answer.go
+++ b/plugin/inbound/answer.go
@@ -53,12 +53,10 @@
 // setLoadHeader sets the header with the load of the upstream and the time since the call was
 // queued.
 func (c *call) setLoadHeader(h http.Header) {
-	if c.pool == nil {
+	if c.slots == nil {
 		return
 	}
-	queued, running := c.pool.Len()
-	load := c.in.upstreamLoad(queued+running, c.slots)
-	l := httpcall.NodeLoad{Load: load}
+	l := httpcall.NodeLoad{Load: c.slots.load()}
 	if !c.queuedAt.IsZero() {
 		l.TimeAtNode = time.Since(c.queuedAt)
 	}
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -18,16 +18,14 @@
 // call is one call from another node. One goroutine uses it at a time: that of the connection,
 // then a worker, then that of the connection again.
 type call struct {
-	in              *Inbound
-	w               http.ResponseWriter
-	r               *http.Request
-	session         *httpcall.Session
-	info            httpcall.Call
-	upstreamAddress string
-	slots           int
-	pool            *pool.Pool
-	deadline        time.Time
-	body            *httpcall.Body
+	in       *Inbound
+	w        http.ResponseWriter
+	r        *http.Request
+	session  *httpcall.Session
+	info     httpcall.Call
+	slots    *upstreamSlots // nil until the call is admitted
+	deadline time.Time
+	body     *httpcall.Body
 	// ctx cancels the dispatch. For a keyed call it ignores that the caller gives up.
 	ctx      context.Context
 	queuedAt time.Time
@@ -79,32 +77,18 @@
 // admit serves a call that is for this node's upstream if the upstream accepts calls, and rejects
 // any other call.
 func (c *call) admit() {
-	e := c.in.announce.Endpoint()
-	c.upstreamAddress, c.slots = c.in.announce.UpstreamAddress(), e.Slots
-	if c.upstreamAddress == "" {
-		c.reject(httpcall.ReasonNoUpstream)
-		return
-	}
-	if e.Service != c.info.Service {
-		c.reject(httpcall.ReasonWrongService)
-		return
-	}
-	if c.in.announce.IsUpstreamClosed() {
-		c.reject(httpcall.ReasonLeaving)
-		return
-	}
 	draining := c.in.announce.IsDraining()
 	if stop, stopping := c.in.c.StopSchedule(); stopping && draining && !stop.Fits(c.deadline) {
 		c.reject(httpcall.ReasonLeaving) // the node that sent the call offers it to another endpoint
 		return
 	}
-	p, leaving := c.in.beginCall(e.Slots, draining)
-	if leaving || p == nil {
-		c.reject(httpcall.ReasonLeaving)
+	slots, reason := c.in.beginCall(c.info.Service, draining)
+	if slots == nil {
+		c.reject(reason)
 		return
 	}
-	defer c.in.endCall()
-	c.pool = p
+	defer c.in.endCall(slots)
+	c.slots = slots
 	counted, ok := c.in.beginTransfer(c)
 	if !ok {
 		c.reject(httpcall.ReasonWaitTooLong)
@@ -149,7 +133,7 @@
 // run.
 func (c *call) runInSlot(f func()) (reason string) {
 	c.queuedAt = time.Now()
-	err := httpcall.RunJob(c.ctx, c.pool, c.newJob(), f)
+	err := httpcall.RunJob(c.ctx, c.slots.pool, c.newJob(), f)
 	switch {
 	case err == nil && c.failure != nil && c.failure.Verdict() == verdict.NotRun:
 		if c.failure.Kind == httpcall.KindRejected {
@@ -169,6 +153,9 @@
 	case errors.Is(err, errWaitTooLong), errors.Is(err, errCannotFinish), errors.Is(err, pool.ErrExpired) && time.Now().Before(c.deadline):
 		return httpcall.ReasonWaitTooLong
 	case errors.Is(err, pool.ErrClosed):
+		if reason := c.staleReason(); reason != "" {
+			return reason
+		}
 		return httpcall.ReasonLeaving
 	}
 	return httpcall.ReasonExpired
@@ -209,12 +196,13 @@
 
 // logRejection logs a rejection with the state of the slots and the queue at that time.
 func (c *call) logRejection(reason string) {
-	queued, running := 0, 0
-	if c.pool != nil {
-		queued, running = c.pool.Len()
+	slots, queued, running := 0, 0, 0
+	if c.slots != nil {
+		slots = c.slots.upstream.Slots
+		queued, running = c.slots.pool.Len()
 	}
 	c.in.c.Log.Log(evRejected).Str("id", c.info.ID).Str("service", c.info.Service).Str("reason", reason).
-		Int("priority", c.info.Priority).Int("queued", queued).Int("running", running).Int("slots", c.slots).
+		Int("priority", c.info.Priority).Int("queued", queued).Int("running", running).Int("slots", slots).
 		Int("left_ms", int(time.Until(c.deadline).Milliseconds())).Send()
 }
 
@@ -255,22 +243,23 @@
 		execution := c.in.lineage.Begin(c.info.ID, isRepeat)
 		defer c.in.lineage.End(execution)
 	}
-	if c.in.announce.IsUpstreamClosed() {
-		c.failure = newRejection(httpcall.ReasonLeaving, errors.New("upstream started to leave while the call was queued"))
+	if reason := c.staleReason(); reason != "" {
+		c.failure = newRejection(reason, errors.New("upstream has closed or was replaced while the call was queued"))
 		return nil
 	}
 	header := make(http.Header, len(c.r.Header)+4)
 	httpcall.ForwardHeaders(header, c.r.Header)
 	c.dispatch = dialect.Dispatch{
-		ID: c.info.ID, Remaining: c.deadline.Sub(begin), Caller: c.info.Caller, Upstream: c.in.announce.UpstreamID(),
+		ID: c.info.ID, Remaining: c.deadline.Sub(begin), Caller: c.info.Caller, Upstream: c.slots.upstream.ID,
 	}
 	c.in.dialect.WriteDispatch(header, c.dispatch)
 	if c.info.TargetLatency > 0 {
-		c.in.usage.callStarted(c, c.info.Class(), begin)
-		defer func() { c.in.usage.callEnded(c, c.outcome(x), time.Now()) }()
+		usage := &c.slots.stats.usage
+		usage.callStarted(c, c.info.Class(), begin)
+		defer func() { usage.callEnded(c, c.outcome(x), time.Now()) }()
 	}
 	answered, f := c.in.client.Do(c.ctx, &httpcall.Request{
-		To:   httpcall.Target{Address: c.upstreamAddress},
+		To:   httpcall.Target{Address: c.slots.upstream.Address},
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
 		Body: c.body, Deadline: c.deadline, UnblockBody: c.unblockBody, BufferBytes: c.in.s.BufferBytes,
 		ID:         c.dispatch.ID,
@@ -321,8 +310,8 @@
 		return nil
 	default:
 		now := time.Now()
-		c.in.minRun.observe(now.Sub(begin), now)
-		c.in.storeReportedLoad(x.Response.Header)
+		c.slots.stats.minRun.observe(now.Sub(begin), now)
+		c.slots.stats.storeReportedLoad(x.Response.Header)
 		return x
 	}
 	x.MarkRefused()
--- a/plugin/inbound/load.go
+++ b/plugin/inbound/load.go
@@ -15,18 +15,11 @@
 // maxReportBytes bounds the length of a load report. A longer one is ignored.
 const maxReportBytes = 4096
 
-// upstreamLoad returns the load of the upstream: the higher one of its calls per slot and of the
-// load that it last reported itself. The reported load is at most 1, since it may be late or wrong.
-func (in *Inbound) upstreamLoad(calls, slots int) float64 {
-	callLoad := float64(calls) / float64(max(slots, 1))
-	return max(callLoad, math.Float64frombits(in.reportedLoad.Load()))
-}
-
 // storeReportedLoad stores the upstream's load report, if a response has one.
-func (in *Inbound) storeReportedLoad(h http.Header) {
+func (u *upstreamStats) storeReportedLoad(h http.Header) {
 	if v := h[headerORCA]; len(v) > 0 {
 		if load, ok := parseReport(v[0]); ok {
-			in.reportedLoad.Store(math.Float64bits(load))
+			u.reportedLoad.Store(math.Float64bits(load))
 		}
 	}
 }
--- a/plugin/inbound/plugin.go
+++ b/plugin/inbound/plugin.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,7 +21,6 @@
 	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
-	"github.com/celeryyard/celeryyard/kernel/pool"
 	"github.com/celeryyard/celeryyard/kernel/rank"
 	"github.com/celeryyard/celeryyard/plugin/idempotency"
 	"github.com/celeryyard/celeryyard/plugin/lineage"
@@ -32,7 +30,7 @@
 
 var (
 	evListening = event.Declare(800, zerolog.InfoLevel, "listening for calls from other nodes")
-	evSlots     = event.Declare(801, zerolog.InfoLevel, "number of upstream slots changed")
+	evSlots     = event.Declare(801, zerolog.InfoLevel, "upstream or its number of slots changed")
 	evCut       = event.Declare(802, zerolog.WarnLevel, "response of the upstream was truncated")
 	evLeaving   = event.Declare(803, zerolog.InfoLevel, "rejecting calls because the upstream is leaving")
 	evRejected  = event.Declare(805, zerolog.InfoLevel, "call rejected before it ran")
@@ -54,28 +52,25 @@
 
 // Inbound is the plug-in that receives calls for this node's upstream.
 type Inbound struct {
-	c            *kernel.Context
-	s            *Settings
-	peer         *peer.Peer
-	announce     api.Announcer
-	claims       *idempotency.Idempotency
-	dialect      dialect.Dialect
-	lineage      *lineage.Lineage // nil without that plug-in
-	acceptor     *httpcall.Acceptor
-	client       *httpcall.Client
-	server       *http.Server
-	minRun       minRunEstimate
-	usage        usage
-	reportedLoad atomic.Uint64 // load that the upstream reported, as bits of a float64
+	c        *kernel.Context
+	s        *Settings
+	peer     *peer.Peer
+	announce api.Announcer
+	claims   *idempotency.Idempotency
+	dialect  dialect.Dialect
+	lineage  *lineage.Lineage // nil without that plug-in
+	acceptor *httpcall.Acceptor
+	client   *httpcall.Client
+	server   *http.Server
 
 	dispatches *metrics.Counter
 	queueTime  *metrics.Histogram
 
 	// mu guards the fields below.
 	mu *rank.Mutex
-	// slots is the number of workers of pool, which is nil if slots is 0.
-	slots int
-	pool  *pool.Pool
+	// upstream is the current upstream, and current its slots; nil if there is none or it accepts no calls.
+	upstream api.Upstream
+	current  *upstreamSlots
 	// activeCalls is the number of calls in flight.
 	activeCalls int
 	// leaving is set by the planned stop, after which calls are rejected.
@@ -94,6 +89,10 @@
 		dispatches: c.Metrics.NewCounter(`celeryyard_dispatches_total{side="inbound"}`),
 		queueTime:  c.Metrics.NewHistogram(`celeryyard_queue_seconds{side="inbound"}`),
 	}
+	in.client = httpcall.NewClient(httpcall.ClientOptions{
+		IdleTimeout: in.s.UpstreamIdle.AsDuration(), MaxIdlePerAddress: 64, DialTimeout: in.s.DialTimeout.AsDuration(), SilenceTimeout: in.s.SilenceTimeout.AsDuration(),
+		Rank: rank.Admission, Dispatches: in.dispatches,
+	})
 	in.transfers.bytesPerSecond = in.s.LinkMbps * 1e6 / 8
 	in.dialect = dialect.Native{}
 	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
@@ -103,6 +102,7 @@
 		in.lineage = l
 	}
 	in.announce.OnLeave(in.leave)
+	in.announce.OnUpstreamChange(in.applyUpstream)
 	if s, ok := kernel.Find[*session.Session](c, "session"); ok {
 		s.SetLoadReporter(in.loadReport)
 	}
@@ -116,11 +116,13 @@
 
 // loadReport returns the load report of the upstream for other nodes; nil if there is no upstream.
 func (in *Inbound) loadReport() *peerapi.LoadReport {
-	e := in.announce.Endpoint()
-	if e.Slots == 0 {
+	in.mu.Lock()
+	u := in.current
+	in.mu.Unlock()
+	if u == nil {
 		return nil
 	}
-	return in.usage.report(e.Slots, time.Now())
+	return u.stats.usage.report(u.upstream.Slots, time.Now())
 }
 
 // Start implements kernel.Plugin.
@@ -129,10 +131,6 @@
 		return nil
 	}
 	in.acceptor = &httpcall.Acceptor{Key: in.peer.Key(), Node: in.c.Instance.Name}
-	in.client = httpcall.NewClient(httpcall.ClientOptions{
-		IdleTimeout: in.s.UpstreamIdle.AsDuration(), MaxIdlePerAddress: 64, DialTimeout: in.s.DialTimeout.AsDuration(), SilenceTimeout: in.s.SilenceTimeout.AsDuration(),
-		Rank: rank.Admission, Dispatches: in.dispatches,
-	})
 	l, err := net.Listen("tcp", in.s.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for calls from other nodes")
@@ -167,10 +165,10 @@
 	}
 	err = errors.CombineErrors(err, in.server.Shutdown(ctx))
 	in.mu.Lock()
-	p := in.pool
+	u := in.current
 	in.mu.Unlock()
-	if p != nil {
-		err = errors.CombineErrors(err, p.Stop(ctx))
+	if u != nil {
+		err = errors.CombineErrors(err, u.pool.Stop(ctx))
 	}
 	in.client.Close()
 	return err
@@ -201,41 +199,25 @@
 	}
 }
 
-// beginCall counts a call as in flight and returns the pool whose workers are the slots; nil if the
-// upstream has no slots. It counts no call and returns leaving if the upstream has left. draining
-// is the state of the announced upstream: if it is false after a planned stop, a new upstream was
-// announced, and calls are accepted again.
-func (in *Inbound) beginCall(slots int, draining bool) (p *pool.Pool, leaving bool) {
+// beginCall counts a call for the service as in flight and returns the slots of its upstream. It counts no call and
+// returns the reason for the rejection if the upstream is not of that service, or if it or the node is leaving. draining
+// is the state of the announced upstream: if it is false after a planned stop, a new upstream was announced, and calls
+// are accepted again.
+func (in *Inbound) beginCall(service string, draining bool) (s *upstreamSlots, reason string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.leaving && draining {
-		return nil, true
+	switch {
+	case in.upstream.Address == "":
+		return nil, httpcall.ReasonNoUpstream
+	case in.upstream.Service != service:
+		return nil, httpcall.ReasonWrongService
+	case in.current == nil || in.leaving && draining:
+		return nil, httpcall.ReasonLeaving
 	}
 	in.leaving = false
-	if slots != in.slots {
-		in.replacePool(slots)
-	}
-	if in.pool != nil {
-		in.usage.callArrived(time.Now())
-		in.activeCalls++
-	}
-	return in.pool, false
-}
-
-// replacePool replaces the pool by one with the given number of slots. The old pool finishes its
-// calls. mu must be held.
-func (in *Inbound) replacePool(slots int) {
-	if old := in.pool; old != nil {
-		go func() { _ = old.Stop(context.Background()) }()
-	}
-	in.slots, in.pool = slots, nil
-	if slots > 0 {
-		in.pool = pool.New(pool.Options{
-			Workers: slots, Queue: newAdmission(slots, slots*in.s.QueuePerSlot, &in.minRun),
-			OnPanic: func(v any, stack []byte) { in.c.Fail(errors.Newf("call panicked: %v\n%s", v, stack)) },
-		})
-	}
-	in.c.Log.Log(evSlots).Int("slots", slots).Send()
+	in.current.stats.usage.callArrived(time.Now())
+	in.activeCalls++
+	return in.current, ""
 }
 
 // beginTransfer decides whether the body of a call that waits to be accepted before it sends the body
@@ -264,12 +246,12 @@
 	return errA == nil && errB == nil && hostA == hostB
 }
 
-// endCall ends the count of a call as in flight.
-func (in *Inbound) endCall() {
+// endCall ends the count of a call as in flight at the slots s.
+func (in *Inbound) endCall(s *upstreamSlots) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.activeCalls--
-	in.usage.callLeft(time.Now())
+	s.stats.usage.callLeft(time.Now())
 	in.finishIfIdle()
 }
 
--- a/test/dataplane/fakes_test.go
+++ b/test/dataplane/fakes_test.go
@@ -40,15 +40,17 @@
 // drainDelay, and runs the function that was registered with OnLeave. When that function is done, it
 // calls onGone.
 type fakeAnnounce struct {
-	// mu guards endpoint, upstream, draining, onDrain and onGone.
+	// mu guards endpoint, upstream, generation, draining, onDrain and onGone.
 	mu         sync.Mutex
 	endpoint   resource.Endpoint
 	upstream   string
+	generation uint64
 	draining   bool
 	drainDelay time.Duration
 	onDrain    func()
 	onGone     func()
 	leaveFunc  func(done func())
+	changeFunc func()
 	leaveOnce  sync.Once
 	leaveDone  chan struct{}
 }
@@ -58,16 +60,21 @@
 func (a *fakeAnnounce) Start(context.Context) error { return nil }
 func (a *fakeAnnounce) Stop(context.Context) error  { return nil }
 
-func (a *fakeAnnounce) Endpoint() resource.Endpoint {
+func (a *fakeAnnounce) Upstream() api.Upstream {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.endpoint
+	return api.Upstream{Generation: a.generation, Service: a.endpoint.Service, Address: a.upstream, Slots: a.endpoint.Slots}
 }
 
-func (a *fakeAnnounce) UpstreamAddress() string {
+func (a *fakeAnnounce) OnUpstreamChange(f func()) { a.changeFunc = f }
+
+// setUpstream replaces the upstream at the address.
+func (a *fakeAnnounce) setUpstream(e resource.Endpoint, address string) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.upstream
+	a.endpoint, a.upstream = e, address
+	a.generation++
+	a.mu.Unlock()
+	a.changeFunc()
 }
 
 func (a *fakeAnnounce) IsDraining() bool {
@@ -76,8 +83,6 @@
 	return a.draining
 }
 
-func (a *fakeAnnounce) UpstreamID() string       { return "" }
-func (a *fakeAnnounce) IsUpstreamClosed() bool   { return false }
 func (a *fakeAnnounce) HandleMisdirected(string) {}
 
 func (a *fakeAnnounce) OnLeave(f func(done func())) { a.leaveFunc = f }
--- a/test/dataplane/fleet_test.go
+++ b/test/dataplane/fleet_test.go
@@ -149,8 +149,8 @@
 	if f.withoutRelays {
 		n.endpoint.Address = n.nodesAddress
 	}
+	n.announce.setUpstream(n.endpoint, strings.TrimPrefix(n.upstream.URL, "http://"))
 	n.announce.mu.Lock()
-	n.announce.endpoint, n.announce.upstream = n.endpoint, strings.TrimPrefix(n.upstream.URL, "http://")
 	n.announce.onDrain = func() { f.setEndpointState(n, resource.StateDraining) }
 	n.announce.onGone = func() { f.setEndpointState(n, resource.StateGone) }
 	n.announce.drainDelay = 50 * time.Millisecond
