outbound, inbound, kernel: calls that wait in a planned stop are answered

Cause: a planned stop judged calls when they arrived, by the duration of their route, and never again. How long a call may wait in the queue of another node came from its own deadline, so the wait could outlast the process that had to answer. The same held for calls sent before the signal, for the queue beside the stopping node, for its worker queue, and for calls with a key.

An offer that could wait longer than a stop lasts carries the longest stay in the queue; the other node returns it with proof that it has not run, and it is offered again or, in a stop, answered 503. Jobs queued in a stopping process end their wait at their latest start. Calls that run until 0.1 s before the exit are answered 502.

Ruled out: a message that withdraws waiting calls (may be lost), and a shorter wait for all calls (refuses calls in calm that can be served).

--- a/core/httpcall/auth.go
+++ b/core/httpcall/auth.go
@@ -44,6 +44,8 @@
 	ReasonKeyConflict         = "key-conflict"
 	// ReasonWaitTooLong means that the call waited in the queue for too long, or would have.
 	ReasonWaitTooLong = "wait-too-long"
+	// ReasonStayOver means that the call was queued for as long as its sender permits (HeaderMaxStay).
+	ReasonStayOver = "stay-over"
 	// ReasonRetryBudget means that the call is a repeat and that the retry budgets do not permit the calls
 	// that the upstream would make for it.
 	ReasonRetryBudget = "retry-budget"
--- a/core/httpcall/headers.go
+++ b/core/httpcall/headers.go
@@ -44,6 +44,11 @@
 	// HeaderRepeat marks a call that may have run before, or that is made by the repeat of one.
 	HeaderRepeat = "Celeryyard-Repeat"
 
+	// HeaderMaxStay is the longest time in milliseconds that the call may be queued at the receiving node. The node
+	// then rejects it with ReasonStayOver, and the sender may offer it again. A node that stops as planned thus gets
+	// back the calls that have not started.
+	HeaderMaxStay = "Celeryyard-Max-Stay"
+
 	// headerCall holds an encoded Call.
 	headerCall = "Celeryyard-Call"
 	// headerHello holds the nonce of the client in the handshake. In the answer it holds the nonce of
@@ -77,8 +82,8 @@
 	Priority int
 	// TargetLatency is the latency that the route aims at, in whole milliseconds; 0 for none.
 	TargetLatency time.Duration
-	// RemainingWait is how long the call may still wait in queues, in whole milliseconds. It only
-	// applies to calls with a target latency.
+	// RemainingWait is how long the call may still wait in queues, in whole milliseconds. For a call without a target
+	// latency, 0 means that only the deadline limits the wait.
 	RemainingWait time.Duration
 	// Keyed marks a call with an Idempotency-Key; the receiver is the primary holder of its
 	// claim.
--- a/core/httpcall/httpcall_test.go
+++ b/core/httpcall/httpcall_test.go
@@ -319,25 +319,28 @@
 	}
 }
 
-// Guards against a job that starts although Run has returned an error to its submitter, because the
-// job was refused, cancelled or expired in the queue.
+// Guards against a job that starts although RunJob has returned an error to its submitter, because the
+// job was refused or cancelled, or because its time in the queue was over.
 func TestCancelledJobsNeverStart(t *testing.T) {
 	p := pool.New(pool.Options{Workers: 1, Queue: pool.NewKeyedFIFO(2)})
 	block, started, ran := make(chan struct{}), make(chan struct{}), new(atomic.Int32)
+	run := func(ctx context.Context, timeout time.Duration, limits WaitLimits, f func()) error {
+		return RunJob(ctx, p, pool.Job{Deadline: time.Now().Add(timeout)}, limits, f)
+	}
 	go func() {
-		_ = Run(context.Background(), p, "", time.Now().Add(time.Minute), func() { close(started); <-block })
+		_ = run(context.Background(), time.Minute, WaitLimits{}, func() { close(started); <-block })
 	}()
 	<-started
 	work := func() { ran.Add(1) }
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	if err := Run(ctx, p, "", time.Now().Add(time.Minute), work); !errors.Is(err, context.Canceled) {
+	if err := run(ctx, time.Minute, WaitLimits{}, work); !errors.Is(err, context.Canceled) {
 		t.Fatalf("cancelled: %v", err)
 	}
-	if err := Run(context.Background(), p, "", time.Now().Add(20*time.Millisecond), work); !errors.Is(err, pool.ErrExpired) {
+	if err := run(context.Background(), 20*time.Millisecond, WaitLimits{}, work); !errors.Is(err, pool.ErrExpired) {
 		t.Fatalf("expired: %v", err)
 	}
-	if err := Run(context.Background(), p, "", time.Now().Add(time.Minute), work); !errors.Is(err, pool.ErrFull) {
+	if err := run(context.Background(), time.Minute, WaitLimits{}, work); !errors.Is(err, pool.ErrFull) {
 		t.Fatalf("full: %v", err)
 	}
 	close(block)
@@ -380,3 +383,47 @@
 		_, _ = ParseTimeout(hello)
 	})
 }
+
+// Guards against a job that stays queued longer than its submitter permits, or for so long that a process which stops
+// meanwhile exits before the job could end.
+func TestQueuedJobsAreReturnedInTime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		timeout, stay, stopAfter, latest time.Duration
+		want                             error
+		after                            time.Duration
+	}{
+		"stay is over":            {time.Minute, 50 * time.Millisecond, -1, 0, ErrStayOver, 50 * time.Millisecond},
+		"deadline before stay":    {30 * time.Millisecond, time.Minute, -1, 0, pool.ErrExpired, 30 * time.Millisecond},
+		"stopping before":         {time.Minute, 0, 0, 40 * time.Millisecond, ErrStopping, 40 * time.Millisecond},
+		"stopping meanwhile":      {time.Minute, 0, 30 * time.Millisecond, 60 * time.Millisecond, ErrStopping, 60 * time.Millisecond},
+		"past the latest start":   {time.Minute, 0, 30 * time.Millisecond, -time.Second, ErrStopping, 30 * time.Millisecond},
+		"stay before the latest":  {time.Minute, 50 * time.Millisecond, 0, time.Minute, ErrStayOver, 50 * time.Millisecond},
+		"deadline fits the stop":  {50 * time.Millisecond, 0, 0, time.Minute, pool.ErrExpired, 50 * time.Millisecond},
+		"latest start, then stay": {time.Minute, time.Minute, 0, 30 * time.Millisecond, ErrStopping, 30 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := pool.New(pool.Options{Workers: 1, Queue: pool.NewKeyedFIFO(2)})
+			block, started := make(chan struct{}), make(chan struct{})
+			go func() {
+				_ = RunJob(context.Background(), p, pool.Job{Deadline: time.Now().Add(time.Minute)}, WaitLimits{}, func() { close(started); <-block })
+			}()
+			<-started
+			begin, stopping := time.Now(), make(chan struct{})
+			if tc.stopAfter == 0 {
+				close(stopping)
+			} else if tc.stopAfter > 0 {
+				time.AfterFunc(tc.stopAfter, func() { close(stopping) })
+			}
+			limits := WaitLimits{MaxStay: tc.stay, Stopping: stopping, LatestStart: func() time.Time { return begin.Add(tc.latest) }}
+			err := RunJob(context.Background(), p, pool.Job{Deadline: begin.Add(tc.timeout)}, limits, func() { t.Error("the job ran") })
+			if took := time.Since(begin); !errors.Is(err, tc.want) || took < tc.after {
+				t.Errorf("got %v after %v, want %v after %v", err, took, tc.want, tc.after)
+			}
+			close(block)
+			if err := p.Stop(context.Background()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/core/httpcall/job.go
+++ b/core/httpcall/job.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/kernel/pool"
 )
 
@@ -29,47 +31,78 @@
 	done  chan struct{}
 }
 
-var timerPool = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
+// ErrStayOver is returned for a job that was queued for WaitLimits.MaxStay.
+var ErrStayOver = errors.New("job was queued for the longest time that its submitter permits")
+
+// ErrStopping is returned for a job that was still queued at WaitLimits.LatestStart.
+var ErrStopping = errors.New("process stops before the job could end")
 
-// Run runs f on a worker of the pool, or on the calling goroutine in place of a free worker,
-// and waits until f returns. An error means that f did not run and never will. The error is that
-// of the pool, of its queue or of ctx, or pool.ErrExpired if the deadline has passed.
-func Run(ctx context.Context, p *pool.Pool, group string, deadline time.Time, f func()) error {
-	return RunJob(ctx, p, pool.Job{Group: group, Deadline: deadline}, f)
+// WaitLimits limits the time that a job is queued, in addition to its deadline. The zero value sets no limit.
+type WaitLimits struct {
+	// MaxStay is the longest time that the job is queued; 0 means no limit. Unlike Job.MaxWait, it does not make a
+	// queue reject a job that is expected to wait longer.
+	MaxStay time.Duration
+	// Stopping is closed when the process begins to stop; may be nil. LatestStart then returns the time from which
+	// the job must not start any more.
+	Stopping    <-chan struct{}
+	LatestStart func() time.Time
 }
 
-// RunJob is like Run for a job with further attributes, such as its class. It sets the job's Run and
-// Abandon. A job with MaxWait expires after that time in the queue.
-func RunJob(ctx context.Context, p *pool.Pool, job pool.Job, f func()) error {
+var timerPool = sync.Pool{New: func() any { return time.NewTimer(time.Hour) }}
+
+// RunJob runs f on a worker of the pool, or on the calling goroutine in place of a free worker,
+// and waits until f returns. It sets the job's Run and Abandon. An error means that f did not run and never will.
+// It is that of the pool, of its queue or of ctx, ErrStayOver, ErrStopping, or pool.ErrExpired if the deadline of the
+// job, or MaxWait in the queue, has passed.
+func RunJob(ctx context.Context, p *pool.Pool, job pool.Job, limits WaitLimits, f func()) error {
 	t := &awaitedJob{run: f, done: make(chan struct{}, 1), job: job}
 	t.job.Run, t.job.Abandon = t.start, t.abandon
-	wait := time.Until(job.Deadline)
-	if job.MaxWait > 0 {
-		wait = min(wait, job.MaxWait)
-	}
 	ran, err := p.TryRun(&t.job)
 	if ran || err != nil {
 		return err
 	}
+	err = t.await(ctx, limits)
+	if err != nil && t.state.CompareAndSwap(jobQueued, jobCancelled) {
+		return err
+	}
+	if err != nil {
+		<-t.done
+	}
+	return t.err
+}
+
+// await waits until the job has ended, and returns nil, or until it must not wait any longer, and returns the reason.
+func (t *awaitedJob) await(ctx context.Context, limits WaitLimits) error {
+	wait, reason := time.Until(t.job.Deadline), pool.ErrExpired
+	if t.job.MaxWait > 0 {
+		wait = min(wait, t.job.MaxWait)
+	}
+	if limits.MaxStay > 0 && limits.MaxStay < wait {
+		wait, reason = limits.MaxStay, ErrStayOver
+	}
+	end := time.Now().Add(wait)
 	timer := timerPool.Get().(*time.Timer)
 	timer.Reset(wait)
 	defer func() {
 		timer.Stop()
 		timerPool.Put(timer)
 	}()
-	err = pool.ErrExpired
-	select {
-	case <-t.done:
-		return t.err
-	case <-timer.C:
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	if t.state.CompareAndSwap(jobQueued, jobCancelled) {
-		return err
+	for {
+		select {
+		case <-t.done:
+			return nil
+		case <-timer.C:
+			return reason
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-limits.Stopping:
+			limits.Stopping = nil
+			if latest := limits.LatestStart(); latest.Before(end) {
+				timer.Reset(time.Until(latest))
+				reason = ErrStopping
+			}
+		}
 	}
-	<-t.done
-	return t.err
 }
 
 func (t *awaitedJob) start() {
--- a/core/httpserve/conn.go
+++ b/core/httpserve/conn.go
@@ -29,6 +29,9 @@
 	// ctx is cancelled when the client has closed the connection or the connection failed.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// requestCtx is the parent of the contexts of the requests. Server.CancelRequests cancels it.
+	requestCtx     context.Context
+	cancelRequests context.CancelFunc
 
 	// mu guards the fields below. It is a leaf lock below all lock ranks.
 	mu sync.Mutex
@@ -53,6 +56,7 @@
 	c := &conn{s: s, nc: nc, lim: &io.LimitedReader{R: nc, N: noLimit}}
 	c.br = bufio.NewReader(c.lim)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.requestCtx, c.cancelRequests = context.WithCancel(c.ctx)
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
--- a/core/httpserve/httpserve_test.go
+++ b/core/httpserve/httpserve_test.go
@@ -371,3 +371,30 @@
 		}
 	})
 }
+
+// Guards against cancelled requests whose connection ends before their handlers could answer them.
+func TestCancelledRequestsAreAnswered(t *testing.T) {
+	var running sync.WaitGroup
+	running.Add(3)
+	s := &Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		running.Done()
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusBadGateway)
+		fmt.Fprint(w, r.URL.Path)
+	})}
+	address := startServer(t, s)
+	for range 20 {
+		c, br := dial(t, address)
+		fmt.Fprint(c, get("/1")+get("/2")+get("/3"))
+		running.Wait()
+		s.CancelRequests()
+		for _, path := range []string{"/1", "/2", "/3"} {
+			if r, body := readBody(t, br); r.StatusCode != http.StatusBadGateway || body != path {
+				t.Fatalf("got status %d and %q to %s", r.StatusCode, body, path)
+			}
+		}
+		_ = c.Close()
+		running.Add(3)
+	}
+	running.Add(-3)
+}
--- a/core/httpserve/response.go
+++ b/core/httpserve/response.go
@@ -51,7 +51,7 @@
 const maxPooledBytes = 64 << 10
 
 func newResponse(c *conn, req *http.Request, turn <-chan struct{}) *response {
-	ctx, cancel := context.WithCancel(c.ctx)
+	ctx, cancel := context.WithCancel(c.requestCtx)
 	r := &response{c: c, cancel: cancel, turn: turn, done: make(chan struct{}), header: http.Header{}, length: -1}
 	if req.Body != nil && req.Body != http.NoBody && req.ContentLength != 0 {
 		r.body = newRequestBody(c, r, req)
--- a/core/httpserve/server.go
+++ b/core/httpserve/server.go
@@ -139,6 +139,16 @@
 	}
 }
 
+// CancelRequests cancels the contexts of all requests in progress. The connections stay open, so that the handlers can
+// still answer.
+func (s *Server) CancelRequests() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancelRequests()
+	}
+}
+
 func (s *Server) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/kernel/context.go
+++ b/kernel/context.go
@@ -132,6 +132,17 @@
 	return StopSchedule{}, false
 }
 
+// NextStop returns the schedule of the planned stop, or, before it, that of one that would begin now.
+func (c *Context) NextStop(now time.Time) StopSchedule {
+	if s, stopping := c.StopSchedule(); stopping {
+		return s
+	}
+	return newStopSchedule(now, &c.Instance)
+}
+
+// Stopping returns a channel that is closed when the stop begins. StopSchedule returns its schedule by then.
+func (c *Context) Stopping() <-chan struct{} { return c.kernel.stopping }
+
 // Server is a server of HTTP. Its Serve returns http.ErrServerClosed after it was shut down.
 type Server interface {
 	Serve(l net.Listener) error
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -25,7 +25,9 @@
 	info     httpcall.Call
 	slots    *upstreamSlots // nil until the call is admitted
 	deadline time.Time
-	body     *httpcall.Body
+	// maxStay is the longest time that the call is queued; 0 if the sender sets no limit.
+	maxStay time.Duration
+	body    *httpcall.Body
 	// ctx cancels the dispatch. For a keyed call it ignores that the caller gives up.
 	ctx      context.Context
 	queuedAt time.Time
@@ -64,6 +66,12 @@
 	}
 	c.info = info
 	c.deadline = time.Now().Add(info.Remaining)
+	if v := r.Header.Get(httpcall.HeaderMaxStay); v != "" {
+		if c.maxStay, err = httpcall.ParseTimeout(v); err != nil {
+			c.reject(httpcall.ReasonMalformed)
+			return
+		}
+	}
 	if c.url, err = httpcall.ForwardedURL(r.URL); err != nil {
 		c.reject(httpcall.ReasonMalformed)
 		return
@@ -133,7 +141,9 @@
 // run.
 func (c *call) runInSlot(f func()) (reason string) {
 	c.queuedAt = time.Now()
-	err := httpcall.RunJob(c.ctx, c.slots.pool, c.newJob(), f)
+	err := httpcall.RunJob(c.ctx, c.slots.pool, c.newJob(), httpcall.WaitLimits{
+		MaxStay: c.maxStay, Stopping: c.in.c.Stopping(), LatestStart: c.latestStart,
+	}, f)
 	switch {
 	case err == nil && c.failure != nil && c.failure.Verdict() == verdict.NotRun:
 		if c.failure.Kind == httpcall.KindRejected {
@@ -152,6 +162,10 @@
 		return httpcall.ReasonQueueFull
 	case errors.Is(err, errWaitTooLong), errors.Is(err, errCannotFinish), errors.Is(err, pool.ErrExpired) && time.Now().Before(c.deadline):
 		return httpcall.ReasonWaitTooLong
+	case errors.Is(err, httpcall.ErrStayOver):
+		return httpcall.ReasonStayOver
+	case errors.Is(err, httpcall.ErrStopping):
+		return httpcall.ReasonLeaving
 	case errors.Is(err, pool.ErrClosed):
 		if reason := c.staleReason(); reason != "" {
 			return reason
@@ -165,11 +179,17 @@
 // endpoints may still wait this long, so that it can use a slot that is free now or in a moment.
 const minQueueWait = 2 * time.Millisecond
 
+// latestStart returns the time from which the call must not start any more during a planned stop of this node.
+func (c *call) latestStart() time.Time {
+	stop, _ := c.in.c.StopSchedule()
+	return stop.LatestStart(c.deadline, c.slots.stats.usage.meanDuration(c.info.Class()))
+}
+
 // newJob returns the job that is queued for a slot. A call with a target latency waits at most for
 // the waiting time that it has not used up at other endpoints, or for minQueueWait if that is
 // longer.
 func (c *call) newJob() pool.Job {
-	j := pool.Job{Group: c.info.Organisation, Deadline: c.deadline, Priority: c.info.Priority}
+	j := pool.Job{Group: c.info.Organisation, Deadline: c.deadline, Priority: c.info.Priority, MaxWait: c.info.RemainingWait}
 	if c.info.TargetLatency > 0 {
 		j.Class, j.MaxWait = c.info.Class(), max(c.info.RemainingWait, minQueueWait)
 	}
--- a/plugin/inbound/usage.go
+++ b/plugin/inbound/usage.go
@@ -151,6 +151,16 @@
 	d.updatedAt = now
 }
 
+// meanDuration returns the mean duration of the calls of a class; 0 if unknown.
+func (u *usage) meanDuration(class string) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if d := u.classes[class]; d != nil {
+		return time.Duration(d.mean * float64(time.Second))
+	}
+	return 0
+}
+
 // report returns the load, failure rate and durations of the upstream for other nodes. A
 // running call that already takes longer than the mean of its class counts with the time that it
 // has run so far. Other nodes thus notice an upstream that has become slow or hangs before its
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -76,6 +76,13 @@
 	}
 	lastFailure := httpcall.NewFailure(httpcall.KindUnreachable, verdict.NotRun, errNoEndpoint)
 	for {
+		began := time.Now()
+		if c.isTooLateToStart(began) {
+			if lastFailure.Verdict() == verdict.NotRun {
+				lastFailure = newStoppingFailure()
+			}
+			break
+		}
 		e, to := c.chooseEndpoint(tried)
 		if e == nil {
 			break
@@ -85,6 +92,10 @@
 			return
 		}
 		lastFailure = f
+		if isReturned(f, time.Since(began)) && c.body.CanRewind() {
+			c.logRetry(f, to.Node)
+			continue
+		}
 		if !c.shouldRetry(f) {
 			break
 		}
@@ -154,9 +165,13 @@
 	}
 	c.info.Service, c.info.Organisation = c.cluster.Service, c.route.Organisation
 	c.info.ID, c.info.Caller, c.info.Priority, c.info.TargetLatency = c.id, c.o.s.Service, c.route.Priority, c.route.Target()
-	c.info.RemainingWait = c.maxQueueWait(e)
-	c.lastNode = to.Node
 	sent := time.Now()
+	var maxStay time.Duration
+	c.info.RemainingWait, maxStay = queueLimits(sent, c.deadline, c.latestStart(sent), c.maxQueueWait(e), c.route.Target() > 0, c.o.c.IsStopping())
+	if maxStay > 0 {
+		header[httpcall.HeaderMaxStay] = []string{httpcall.FormatTimeout(maxStay)}
+	}
+	c.lastNode = to.Node
 	x, f := c.o.client.Do(c.r.Context(), &httpcall.Request{
 		To:   to,
 		HTTP: &http.Request{Method: c.r.Method, URL: &c.url, Host: c.r.Host, Header: header},
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -211,7 +211,7 @@
 	}
 	c.setDeadline(info.Timeout)
 	if stop, stopping := o.c.StopSchedule(); stopping && !mayBegin(c.startedAt, c.deadline, stop, o.routeStats.meanDuration(c.route.Name)) {
-		c.respondError(http.StatusServiceUnavailable, verdict.NotRun, "this node stops before the call could end")
+		c.respondError(http.StatusServiceUnavailable, verdict.NotRun, errStopping.Error())
 		return
 	}
 	c.cluster, c.metrics = snapshot.Clusters[o.table.chooseCluster(c.route)], o.metricsOf(c.route.Organisation)
@@ -225,7 +225,9 @@
 		c.isRepeat = o.lineage.RecordCall(c.cluster.Name, c.id, c.startedAt)
 	}
 	c.queuedAt = time.Now()
-	err = httpcall.Run(r.Context(), o.pool, c.route.Organisation, c.deadline, c.run)
+	job := pool.Job{Group: c.route.Organisation, Deadline: c.deadline}
+	limits := httpcall.WaitLimits{Stopping: o.c.Stopping(), LatestStart: func() time.Time { return c.latestStart(time.Now()) }}
+	err = httpcall.RunJob(r.Context(), o.pool, job, limits, c.run)
 	if err != nil {
 		if !c.body.IsFullyKept() {
 			w.Header().Set("Connection", "close")
--- a/plugin/outbound/retry.go
+++ b/plugin/outbound/retry.go
@@ -68,7 +68,7 @@
 		return OutcomeRefused
 	case httpcall.ReasonUpstreamRejected:
 		return OutcomeUpstreamRejected
-	case httpcall.ReasonRetryBudget:
+	case httpcall.ReasonRetryBudget, httpcall.ReasonStayOver:
 		return OutcomeNeutral
 	case httpcall.ReasonLeaving, httpcall.ReasonWrongUpstream:
 		return OutcomeLeaving
--- a/plugin/outbound/stopping.go
+++ b/plugin/outbound/stopping.go
@@ -3,12 +3,22 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/kernel"
 )
 
-// stopDurationFactor is the multiple of the mean duration of its route's calls that a call is expected
-// to take at most.
-const stopDurationFactor = 2.5
+// lastAnswerMargin is the time before the exit at which the calls still in progress are answered: the connection of a
+// call without an answer would end without one.
+const lastAnswerMargin = 100 * time.Millisecond
+
+// minMaxStay is the shortest stay in a queue after which a call is offered again without counting the offer, so that a
+// node that returns calls at once is not asked over and over.
+const minMaxStay = 50 * time.Millisecond
+
+var errStopping = errors.New("this node stops before the call could end")
 
 // mayBegin reports whether a call that arrives now, during a planned stop, is accepted. mean is the
 // mean duration of its route's calls; 0 if unknown.
@@ -19,8 +29,56 @@
 // while it runs, and some calls must not be repeated.
 func mayBegin(now, deadline time.Time, stop kernel.StopSchedule, mean time.Duration) bool {
 	end := deadline
-	if expected := now.Add(time.Duration(stopDurationFactor * float64(mean))); mean > 0 && now.Before(stop.DrainEnd) && expected.Before(end) {
+	if expected := stop.ExpectedEnd(now, mean); mean > 0 && now.Before(stop.DrainEnd) && expected.Before(end) {
 		end = expected
 	}
 	return stop.Fits(end)
 }
+
+// queueLimits returns how long the call may wait for a slot at the endpoint of an offer, which 0 leaves to the deadline,
+// and the longest stay in the queue there, which is 0 if the wait ends earlier anyway. wait is how long the call may
+// wait for a slot if this node does not stop; hasTarget tells whether that applies.
+//
+// An endpoint rejects a call whose expected wait is too long. The stay does not count for that before a planned stop: it
+// only makes the endpoint return the call in time, whenever the stop begins.
+func queueLimits(now, deadline, latestStart time.Time, wait time.Duration, hasTarget, stopping bool) (maxWait, maxStay time.Duration) {
+	if hasTarget {
+		maxWait = wait
+	}
+	stay := max(latestStart.Sub(now), minMaxStay)
+	if !deadline.After(now.Add(stay)) || hasTarget && maxWait <= stay {
+		return maxWait, 0
+	}
+	if stopping {
+		maxWait = stay
+	}
+	return maxWait, stay
+}
+
+// latestStart returns the time from which the call must not start any more if this node stops now or is stopping.
+func (c *call) latestStart(now time.Time) time.Time {
+	return c.o.c.NextStop(now).LatestStart(c.deadline, c.o.routeStats.meanDuration(c.route.Name))
+}
+
+// isTooLateToStart reports whether this node stops before the call could end if it was offered now.
+func (c *call) isTooLateToStart(now time.Time) bool {
+	return c.o.c.IsStopping() && !now.Before(c.latestStart(now))
+}
+
+// isReturned reports whether an endpoint's node has returned the call because of the limit of its stay. took is the
+// duration of the offer. The call can then be offered again as before.
+func isReturned(f *httpcall.Failure, took time.Duration) bool {
+	return f.Kind == httpcall.KindRejected && f.Reason == httpcall.ReasonStayOver && took >= minMaxStay
+}
+
+func newStoppingFailure() *httpcall.Failure {
+	return httpcall.NewFailure(httpcall.KindUnreachable, verdict.NotRun, errStopping)
+}
+
+// Drain implements kernel.Drainer. Calls that are still in progress shortly before the process exits are answered with
+// an error.
+func (o *Outbound) Drain() {
+	if stop, stopping := o.c.StopSchedule(); stopping && o.server != nil {
+		time.AfterFunc(time.Until(stop.Deadline.Add(-lastAnswerMargin)), o.server.CancelRequests)
+	}
+}
