outbound: the caller's service follows the settings while the node runs

Cause: outbound read the setting "service" at its start only; a reload after SIGHUP or a changed file reached the plug-in peer alone.

Change: outbound applies the service on reload (event 756). The test of planned stops gets its case with a key in test/dataplane.

--- a/kernel/context.go
+++ b/kernel/context.go
@@ -143,6 +143,9 @@
 // Stopping returns a channel that is closed when the stop begins. StopSchedule returns its schedule by then.
 func (c *Context) Stopping() <-chan struct{} { return c.kernel.stopping }
 
+// RequestReload makes the program read its settings file again, as SIGHUP does. It does not block.
+func (c *Context) RequestReload() { c.kernel.requestReload() }
+
 // Server is a server of HTTP. Its Serve returns http.ErrServerClosed after it was shut down.
 type Server interface {
 	Serve(l net.Listener) error
--- a/kernel/signal.go
+++ b/kernel/signal.go
@@ -34,14 +34,18 @@
 			stop()
 		case s := <-signals.ReloadRequests():
 			k.logSignal(s)
-			select {
-			case k.reloadRequests <- struct{}{}:
-			default: // a reload is already pending
-			}
+			k.requestReload()
 		}
 	}
 }
 
+func (k *Kernel) requestReload() {
+	select {
+	case k.reloadRequests <- struct{}{}:
+	default: // a reload is already pending
+	}
+}
+
 func (k *Kernel) logSignal(s os.Signal) {
 	k.log.Log(evSignal).Str("signal", signalName(s)).Str("phase", phaseNames[k.phase.Load()]).Send()
 }
--- a/plugin/announce/report.go
+++ b/plugin/announce/report.go
@@ -231,6 +231,9 @@
 	if replaced {
 		a.c.Log.Log(evReplaced).Str("upstream", r.ID).Str("service", r.Service).
 			Str("before", before.latestReport.ID).Str("service_before", previous.Service).Send()
+		if previous.Service != "" && previous.Service != r.Service {
+			a.c.RequestReload() // the settings name the service of the upstream too, and are else checked from time to time only
+		}
 	}
 	if replaced || closureChanged {
 		a.onUpstreamChange()
--- a/plugin/outbound/call.go
+++ b/plugin/outbound/call.go
@@ -164,7 +164,7 @@
 		header[httpcall.HeaderRepeat] = repeatHeaderValue
 	}
 	c.info.Service, c.info.Organisation = c.cluster.Service, c.route.Organisation
-	c.info.ID, c.info.Caller, c.info.Priority, c.info.TargetLatency = c.id, c.o.s.Service, c.route.Priority, c.route.Target()
+	c.info.ID, c.info.Caller, c.info.Priority, c.info.TargetLatency = c.id, *c.o.service.Load(), c.route.Priority, c.route.Target()
 	sent := time.Now()
 	var maxStay time.Duration
 	c.info.RemainingWait, maxStay = queueLimits(sent, c.deadline, c.latestStart(sent), c.maxQueueWait(e), c.route.Target() > 0, c.o.c.IsStopping())
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -39,6 +39,7 @@
 	evAnswered      = event.Declare(753, zerolog.InfoLevel, "call answered")
 	evErrorResponse = event.Declare(754, zerolog.InfoLevel, "call not answered by an upstream")
 	evRetry         = event.Declare(755, zerolog.InfoLevel, "dispatch failed; the call is sent again")
+	evService       = event.Declare(756, zerolog.InfoLevel, "service of the upstream beside this node changed")
 	evResponseCut   = event.Declare(752, zerolog.WarnLevel, "response was cut; the caller's connection is aborted")
 )
 
@@ -58,6 +59,8 @@
 	view  api.View
 	peer  *peer.Peer
 	table *table
+	// service is the setting Service, which may change while the process runs.
+	service atomic.Pointer[string]
 	// dialect translates the headers of calls and of error responses.
 	dialect    dialect.Dialect
 	routeStats routeStats
@@ -106,6 +109,7 @@
 	if d, ok := kernel.Find[dialect.Dialect](c, dialect.Name); ok {
 		o.dialect = d
 	}
+	o.service.Store(&o.s.Service)
 	if o.s.RetryRatio > 0 {
 		o.table.minIsShared = true
 		o.table.allowance = Allowance{Ratio: o.s.RetryRatio, MinRetries: o.s.RetryAllowance, Window: o.s.RetryWindow.AsDuration()}
@@ -155,6 +159,14 @@
 	return nil
 }
 
+// Reload implements kernel.Reloader. It applies the service.
+func (o *Outbound) Reload(s any) {
+	next := s.(*Settings)
+	if before := o.service.Swap(&next.Service); *before != next.Service {
+		o.c.Log.Log(evService).Str("service", next.Service).Str("before", *before).Send()
+	}
+}
+
 // Stop implements kernel.Plugin. It waits for calls in progress.
 func (o *Outbound) Stop(ctx context.Context) error {
 	if o.server == nil {
--- a/plugin/outbound/setup.go
+++ b/plugin/outbound/setup.go
@@ -48,7 +48,7 @@
 	// unacknowledged before the connection to it fails.
 	SilenceTimeout settings.Duration `json:"silence_timeout"`
 	// Service is the service whose upstream this node serves. Upstreams receive it as the caller
-	// of the calls that this node dispatches.
+	// of the calls that this node dispatches. It may change while the process runs.
 	Service string `json:"service"`
 	// ConvergeWithin is the time within which an accepted change must be in force on this node. A call without a
 	// route is answered with 503 instead of 404 if the configuration was not confirmed for longer.
--- a/test/dataplane/stop_test.go
+++ b/test/dataplane/stop_test.go
@@ -95,3 +95,37 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a call with a key that waits for a slot when its node is stopped: its caller gets no answer, or the key
+// stays taken although the call has not run.
+func TestWaitingKeyedCallIsReturnedInAPlannedStop(t *testing.T) {
+	release, running := make(chan struct{}), make(chan struct{})
+	var runs sync.Map
+	f := newFleet(t, 1)
+	f.drainTime, f.stopTimeout = 200*time.Millisecond, 2*time.Second
+	f.route.TimeoutMillis = 10_000
+	f.addNode("far", "z1", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		runs.Store(r.URL.Path, true)
+		if r.URL.Path == "/hold" {
+			close(running)
+			<-release
+		}
+	}))
+	stopping, other := f.addNode("stopping", "z1", nil), f.addNode("other", "z1", nil)
+	var wg sync.WaitGroup
+	wg.Go(func() { other.call("POST", "north", "/hold", "b") })
+	<-running
+	send := func(n *node) answer { return n.call("POST", "north", "/keyed", "b", "Idempotency-Key", "k") }
+	var first answer
+	wg.Go(func() { first = send(stopping) })
+	time.Sleep(100 * time.Millisecond)
+	stopping.stop()
+	close(release)
+	wg.Wait()
+	if _, ran := runs.Load("/keyed"); ran || first.status != http.StatusServiceUnavailable || first.verdict != "not-run" {
+		t.Errorf("the waiting call, which ran: %t, got %+v", ran, first)
+	}
+	if a := send(other); a.status != http.StatusOK || a.claim != "" {
+		t.Errorf("the repeat got %+v", a)
+	}
+}
