httpcall, outbound, inbound: only the client's own fault is answered 400

Cause: the read of a body that we interrupt ourselves failed with a timeout, which was recorded as an error of the client and looked at first. Slow bodies, and requests that another node found malformed, took the same branch.

Change: an interruption is marked before it happens and its error not recorded. A slow body is a kind of failure of its own: 408 if the call has not run, else 504. "malformed" from another node is 503.

--- a/core/httpcall/body.go
+++ b/core/httpcall/body.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,8 +32,11 @@
 	length int64
 	// restUsed is set when a dispatch has read from rest.
 	restUsed bool
-	// restErr is the first error of rest other than io.EOF.
+	// restErr is the first error of rest other than io.EOF. An error after interrupt was called is not recorded.
 	restErr error
+	// interrupted is set before this process ends a blocked read of rest, so that the error of that read is not taken
+	// for one of the sender.
+	interrupted atomic.Bool
 }
 
 // ReadBody reads the first MaxKeptBytes of the request's body. It blocks until these bytes or
@@ -129,6 +134,18 @@
 	}
 }
 
+// interrupt makes a blocked read of the rest return by calling unblock, which may be nil.
+func (b *Body) interrupt(unblock func()) {
+	if b == nil || unblock == nil {
+		return
+	}
+	b.interrupted.Store(true)
+	unblock()
+}
+
+// IsSlowBody reports whether err means that a request body did not arrive before the deadline.
+func IsSlowBody(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
 // newReader returns a reader of the body from its start, for one dispatch.
 func (b *Body) newReader() io.ReadCloser {
 	if b.rest == nil {
@@ -144,7 +161,7 @@
 func (r *restReader) Read(p []byte) (int, error) {
 	r.restUsed = true
 	n, err := r.rest.Read(p)
-	if err != nil && !errors.Is(err, io.EOF) && r.restErr == nil {
+	if err != nil && !errors.Is(err, io.EOF) && r.restErr == nil && !r.interrupted.Load() {
 		r.restErr = err
 	}
 	return n, err
--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -72,6 +72,7 @@
 	// sendErr is the error with which sending the request ended; nil if it was sent to its end.
 	sendErr     error
 	held        *heldBody // the body that waits for the request to be accepted; nil if none does
+	body        *Body
 	unblockBody func()
 }
 
@@ -113,7 +114,7 @@
 func (c *Client) roundTrip(ctx context.Context, k *conn, r *Request) (*Exchange, *Failure) {
 	k.bytesWritten = 0
 	k.auth.requestCount++
-	x := &Exchange{client: c, conn: k, requestID: r.ID, unblockBody: r.UnblockBody}
+	x := &Exchange{client: c, conn: k, requestID: r.ID, body: r.Body, unblockBody: r.UnblockBody}
 	err := k.SetDeadline(r.Deadline)
 	x.stopCancellation = context.AfterFunc(ctx, func() { _ = k.SetDeadline(time.Unix(1, 0)) })
 	if err == nil {
@@ -236,9 +237,7 @@
 		return
 	}
 	_ = x.conn.SetDeadline(time.Unix(1, 0))
-	if x.unblockBody != nil {
-		x.unblockBody()
-	}
+	x.body.interrupt(x.unblockBody)
 	if <-x.writeDone != nil {
 		netconn.ResetOnClose(x.conn.Conn) // the other side may not read, and would not notice a proper close
 	}
@@ -254,6 +253,8 @@
 		v = verdict.NotRun
 	}
 	switch {
+	case r.Body != nil && IsSlowBody(r.Body.restErr):
+		return NewFailure(KindSlowBody, v, errors.New("the request body did not arrive before the deadline"))
 	case r.Body != nil && r.Body.restErr != nil:
 		return NewFailure(KindRequestBody, v, r.Body.restErr)
 	case ctx.Err() != nil:
--- a/core/httpcall/failure.go
+++ b/core/httpcall/failure.go
@@ -23,11 +23,13 @@
 	KindTimeout
 	// KindCancelled means that the caller cancelled the call.
 	KindCancelled
-	// KindRequestBody means that reading the caller's request body failed.
+	// KindRequestBody means that the caller's request body was broken off or malformed.
 	KindRequestBody
+	// KindSlowBody means that the caller's request body did not arrive before the deadline.
+	KindSlowBody
 )
 
-var kindNames = [...]string{"unreachable", "unsent", "rejected", "cut", "timeout", "cancelled", "request-body"}
+var kindNames = [...]string{"unreachable", "unsent", "rejected", "cut", "timeout", "cancelled", "request-body", "slow-body"}
 
 // String returns the name of the kind in logs and error responses.
 func (k Kind) String() string { return kindNames[k] }
--- a/plugin/inbound/answer.go
+++ b/plugin/inbound/answer.go
@@ -44,7 +44,7 @@
 	}
 	c.setLoadHeader(h)
 	status := http.StatusBadGateway
-	if c.failure.Kind == httpcall.KindTimeout {
+	if c.failure.Kind == httpcall.KindTimeout || c.failure.Kind == httpcall.KindSlowBody {
 		status = http.StatusGatewayTimeout
 	}
 	c.w.WriteHeader(status)
--- a/plugin/inbound/call.go
+++ b/plugin/inbound/call.go
@@ -105,7 +105,11 @@
 	var err error
 	if c.body, err = httpcall.ReadBody(c.w, c.r, c.deadline); err != nil {
 		c.in.endTransfer(counted)
-		c.reject(httpcall.ReasonMalformed)
+		if httpcall.IsSlowBody(err) {
+			c.reject(httpcall.ReasonExpired)
+		} else {
+			c.reject(httpcall.ReasonMalformed)
+		}
 		return
 	}
 	defer c.body.Release()
@@ -149,7 +153,7 @@
 		if c.failure.Kind == httpcall.KindRejected {
 			return c.failure.Reason
 		}
-		if c.failure.Kind == httpcall.KindTimeout || c.failure.Kind == httpcall.KindCancelled {
+		if c.failure.Kind == httpcall.KindTimeout || c.failure.Kind == httpcall.KindCancelled || c.failure.Kind == httpcall.KindSlowBody {
 			return httpcall.ReasonExpired
 		}
 		if c.failure.Kind == httpcall.KindRequestBody {
@@ -304,7 +308,7 @@
 	switch {
 	case x != nil && x.Response.StatusCode < http.StatusInternalServerError:
 		return outcomeSuccess
-	case x == nil && (c.failure.Kind == httpcall.KindCancelled || c.failure.Kind == httpcall.KindRequestBody):
+	case x == nil && (c.failure.Kind == httpcall.KindCancelled || c.failure.Kind == httpcall.KindRequestBody || c.failure.Kind == httpcall.KindSlowBody):
 		return outcomeIgnored
 	}
 	return outcomeFailure
--- a/plugin/outbound/answer.go
+++ b/plugin/outbound/answer.go
@@ -65,9 +65,12 @@
 		c.w.Header().Set("Connection", "close")
 	}
 	code := httpStatus(f)
-	if v != verdict.NotRun && code == http.StatusServiceUnavailable {
-		// 503 is only for calls that did not run, and an earlier attempt of this one may have run.
+	// 503 and 408 are only for calls that did not run, and an earlier attempt of this one may have run.
+	switch {
+	case v != verdict.NotRun && code == http.StatusServiceUnavailable:
 		code = http.StatusBadGateway
+	case v != verdict.NotRun && code == http.StatusRequestTimeout:
+		code = http.StatusGatewayTimeout
 	}
 	c.respondError(code, v, httpcall.Describe(f))
 }
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -229,7 +229,11 @@
 	c.cluster, c.metrics = snapshot.Clusters[o.table.chooseCluster(c.route)], o.metricsOf(c.route.Organisation)
 	if err := c.prepare(); err != nil {
 		w.Header().Set("Connection", "close")
-		c.respondError(http.StatusBadRequest, verdict.NotRun, err.Error())
+		status := http.StatusBadRequest
+		if httpcall.IsSlowBody(err) {
+			status = http.StatusRequestTimeout
+		}
+		c.respondError(status, verdict.NotRun, err.Error())
 		return
 	}
 	defer c.body.Release()
--- a/plugin/outbound/retry.go
+++ b/plugin/outbound/retry.go
@@ -31,7 +31,7 @@
 	switch {
 	case arrivals >= maxAttempts || !canRewindBody:
 		return false
-	case f.Kind == httpcall.KindCancelled || f.Kind == httpcall.KindTimeout || f.Kind == httpcall.KindRequestBody:
+	case f.Kind == httpcall.KindCancelled || f.Kind == httpcall.KindTimeout || f.Kind == httpcall.KindRequestBody || f.Kind == httpcall.KindSlowBody:
 		return false
 	case f.Kind == httpcall.KindRejected && isFinal(f.Reason):
 		return false
@@ -53,7 +53,7 @@
 	switch f.Kind {
 	case httpcall.KindUnreachable, httpcall.KindUnsent:
 		return OutcomeRefused
-	case httpcall.KindCancelled, httpcall.KindRequestBody:
+	case httpcall.KindCancelled, httpcall.KindRequestBody, httpcall.KindSlowBody:
 		return OutcomeNeutral
 	case httpcall.KindRejected:
 		return rejectionOutcome(f.Reason)
@@ -76,13 +76,18 @@
 	return OutcomeBusy
 }
 
-// httpStatus returns the HTTP status of the response to a call that failed with f.
+// httpStatus returns the HTTP status of the response to a call that failed with f. Only what the caller has sent wrongly is
+// answered 400: this node has checked the request, so another node that finds it malformed does not understand this one.
 func httpStatus(f *httpcall.Failure) int {
 	switch {
 	case f.Kind == httpcall.KindTimeout || f.Kind == httpcall.KindRejected && f.Reason == httpcall.ReasonExpired:
 		return http.StatusGatewayTimeout
-	case f.Kind == httpcall.KindRequestBody || f.Kind == httpcall.KindRejected && f.Reason == httpcall.ReasonMalformed:
+	case f.Kind == httpcall.KindRequestBody:
 		return http.StatusBadRequest
+	case f.Kind == httpcall.KindSlowBody && f.Verdict() == verdict.NotRun:
+		return http.StatusRequestTimeout
+	case f.Kind == httpcall.KindSlowBody:
+		return http.StatusGatewayTimeout
 	case f.Kind == httpcall.KindRejected && f.Reason == httpcall.ReasonKeyConflict:
 		return http.StatusUnprocessableEntity
 	case f.Kind == httpcall.KindRejected && f.Reason == httpcall.ReasonBodyTooLarge:
