outbound, inbound, dialect: a key counts only where dialect and route say so

Two callers with one key got each other's answers.

Cause: outbound took the published header from any request but GET, HEAD and OPTIONS, whatever the dialect and the route; the hash that tells requests with one key apart left out who made the call.

Change: the dialect states the key; the platform's has none. Routes that declare their calls idempotent need none. Authorization, Cookie and the caller's service are part of the hash if they are there.

--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -21,6 +21,10 @@
 	ID string
 	// Timeout is how long the caller waits; 0 if it states no timeout.
 	Timeout time.Duration
+	// Keys holds the values of the header by which the caller marks repeats of one request, so that it runs at most
+	// once. It is nil if the caller sends none, or if the dialect has no such header: one of that name is then
+	// forwarded like any other.
+	Keys []string
 }
 
 // Dispatch holds the information that is sent to an upstream with a request.
@@ -120,7 +124,7 @@
 
 // ReadCall implements Dialect.
 func (Native) ReadCall(h http.Header) (Call, error) {
-	c := Call{ID: h.Get(headerRequestID)}
+	c := Call{ID: h.Get(headerRequestID), Keys: h[httpcall.HeaderIdempotencyKey]}
 	if len(c.ID) > maxRequestIDBytes {
 		c.ID = ""
 	}
--- a/plugin/inbound/keyed.go
+++ b/plugin/inbound/keyed.go
@@ -51,10 +51,21 @@
 	}
 }
 
+// authorityHeaders are the headers that state on whose behalf a caller makes a call.
+var authorityHeaders = [...]string{"Authorization", "Cookie"}
+
 // requestHash returns a hash of the parts of the request that must be the same when a call is
-// repeated with its key.
+// repeated with its key. Callers with different authority must not get each other's answers.
 func (c *call) requestHash() string {
 	h := sha256.New()
+	for _, name := range authorityHeaders {
+		for _, v := range c.r.Header[name] {
+			_, _ = io.WriteString(h, name+"\x00"+v+"\x00")
+		}
+	}
+	if c.info.Caller != "" {
+		_, _ = io.WriteString(h, "caller\x00"+c.info.Caller+"\x00")
+	}
 	_, _ = io.WriteString(h, c.r.Method+"\x00"+c.r.Host+"\x00"+c.r.URL.RequestURI()+"\x00"+c.r.Header.Get("Content-Type")+"\x00")
 	_, _ = h.Write(c.body.Bytes())
 	return hex.EncodeToString(h.Sum(nil))
--- a/plugin/outbound/plugin.go
+++ b/plugin/outbound/plugin.go
@@ -227,7 +227,7 @@
 		return
 	}
 	c.cluster, c.metrics = snapshot.Clusters[o.table.chooseCluster(c.route)], o.metricsOf(c.route.Organisation)
-	if err := c.prepare(); err != nil {
+	if err := c.prepare(info.Keys); err != nil {
 		w.Header().Set("Connection", "close")
 		status := http.StatusBadRequest
 		if httpcall.IsSlowBody(err) {
@@ -283,13 +283,13 @@
 }
 
 // prepare sets the URL of the dispatches and the idempotency key, and reads the part of the body that is
-// kept for retries.
-func (c *call) prepare() error {
+// kept for retries. A call that may run more than once needs no key.
+func (c *call) prepare(keys []string) error {
 	var err error
 	if c.url, err = httpcall.ForwardedURL(c.r.URL); err != nil {
 		return err
 	}
-	if keys := c.r.Header[httpcall.HeaderIdempotencyKey]; len(keys) > 0 && !isIdempotent(c.r.Method, false) {
+	if len(keys) > 0 && !isIdempotent(c.r.Method, c.route.Idempotent) {
 		if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKeyBytes {
 			return errors.Newf("%s must have exactly one value of 1 to %d bytes", httpcall.HeaderIdempotencyKey, maxKeyBytes)
 		}
