--- a/plugin/journal/record.go
+++ b/plugin/journal/record.go
@@ -30,6 +30,7 @@
 	recordReleased                  // highest released version
 	recordMemberID                  // member ID
 	recordSnapshot                  // index, term, reset
+	recordFounders                  // instance names, as JSON
 )
 
 var castagnoliTable = crc32.MakeTable(crc32.Castagnoli)
--- a/plugin/journal/state.go
+++ b/plugin/journal/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json"
 
 	"github.com/celeryyard/celeryyard/core/replog"
 )
@@ -9,7 +10,10 @@
 // State is the recovered state of a journal.
 type State struct {
 	// MemberID is the member ID of this data folder; 0 if the folder is new.
-	MemberID  replog.MemberID
+	MemberID replog.MemberID
+	// Founders are the names of the instances that form the group, if this folder was first used to form one. They
+	// have no meaning once the log holds an entry or there is a snapshot.
+	Founders  []string
 	HardState replog.HardState
 	// ReleasedVersion is the highest released version that was saved.
 	ReleasedVersion uint64
@@ -59,6 +63,11 @@
 		var id uint64
 		_, err = parseUvarints(body, &id)
 		r.state.MemberID = replog.MemberID(id)
+	case recordFounders:
+		r.state.Founders = nil
+		if json.Unmarshal(body, &r.state.Founders) != nil {
+			err = errMalformed
+		}
 	case recordSnapshot:
 		err = r.applySnapshot(body)
 	default:
--- a/plugin/journal/store.go
+++ b/plugin/journal/store.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json"
 
 	"github.com/celeryyard/celeryyard/core/replog"
 )
@@ -17,7 +18,9 @@
 // Batch is the data written by one Save. Fields that are zero, nil or empty leave the stored value
 // unchanged.
 type Batch struct {
-	MemberID  replog.MemberID
+	MemberID replog.MemberID
+	// Founders are the names of the instances that form the group together with this one.
+	Founders  []string
 	HardState *replog.HardState
 	// ReleasedVersion is saved if it is higher than the stored one.
 	ReleasedVersion uint64
@@ -79,6 +82,14 @@
 		payload = appendUvarintRecord(payload, recordMemberID, uint64(b.MemberID))
 		s.state.MemberID = b.MemberID
 	}
+	if len(b.Founders) > 0 {
+		names, err := json.Marshal(b.Founders)
+		if err != nil {
+			return errors.Wrap(err, "encode founders")
+		}
+		payload = appendRecord(payload, recordFounders, names)
+		s.state.Founders = b.Founders
+	}
 	if b.HardState != nil {
 		payload = appendUvarintRecord(payload, recordHardState, b.HardState.Term, uint64(b.HardState.Vote), b.HardState.Commit)
 		s.state.HardState = *b.HardState
@@ -150,6 +161,7 @@
 	payload = appendUvarintRecord(payload, recordHardState, s.state.HardState.Term, uint64(s.state.HardState.Vote), s.state.HardState.Commit)
 	payload = appendUvarintRecord(payload, recordReleased, s.state.ReleasedVersion)
 	payload = appendUvarintRecord(payload, recordMemberID, uint64(s.state.MemberID))
+	// Founders are not repeated: they matter only while the log is empty, in the first segment.
 	payload = appendUvarintRecord(payload, recordSnapshot, s.state.Snapshot.Index, s.state.Snapshot.Term, 0)
 	b = appendFrame(b, salt, int64(len(b)), payload)
 	file, err := s.writeFile(segmentName(seq), b)
--- a/plugin/quorum/bootstrap_sim_test.go
+++ b/plugin/quorum/bootstrap_sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/celeryyard/celeryyard/core/replog"
@@ -20,8 +21,12 @@
 	responses []inFlightResponse
 	// formed holds the first configurations that have reached a disk, by member.
 	formed map[replog.MemberID]string
-	// wipedDisks is at most 1: two lost disks would be a majority of the group.
-	wipedDisks int
+	// wiped is the name of the instance that has lost its disk. There is at most one: two lost disks would be a majority
+	// of the group.
+	wiped string
+	// toldOnce is set if only the first start of an instance is told to form a group. Instances that were killed before
+	// their first write are then never told, except the one that composes the configuration.
+	toldOnce bool
 }
 
 // inFlightResponse is a response in the simulated network. It is delivered only while the
@@ -37,7 +42,7 @@
 // newBootstrapSim returns a sim whose instances are not started yet.
 func newBootstrapSim(seed uint64, instances int) *bootstrapSim {
 	b := &bootstrapSim{sim: newEmptySim(seed), states: map[*raft.Core]*bootstrapState{}, formed: map[replog.MemberID]string{}}
-	b.openVoterCount, b.externalFaults = 3, true
+	b.openVoterCount, b.externalFaults, b.toldOnce = 3, true, seed%2 == 1
 	for i := range instances {
 		n := b.addInstance()
 		if i < b.openVoterCount {
@@ -47,23 +52,36 @@
 	return b
 }
 
-// stateOf returns the bootstrap state of an instance, nil if it doesn't bootstrap.
+// stateOf returns the bootstrap state of an instance, nil if its log is not empty.
 func (b *bootstrapSim) stateOf(n *simNode) *bootstrapState {
 	if n.core == nil || n.diskless || len(b.initialVoters) == 0 {
 		return nil
 	}
 	state, known := b.states[n.core]
 	if !known {
-		for _, name := range b.initialVoters {
-			if name == n.name && len(n.core.Config().Members) == 0 {
-				state = &bootstrapState{self: replog.Member{ID: n.member, Name: n.name}, voters: b.initialVoters, ids: map[string]replog.MemberID{}}
-			}
+		b.initialize(n)
+		switch {
+		case len(n.core.Config().Members) > 0:
+		case n.disk.founder:
+			state = newBootstrapState(replog.Member{ID: n.member, Name: n.name}, true, b.initialVoters)
+		case b.toldOnce:
+			state = newBootstrapState(replog.Member{ID: n.member, Name: n.name}, false, nil)
 		}
 		b.states[n.core] = state
 	}
 	return state
 }
 
+// initialize carries out the first write to the disk of an instance, as Quorum.initialize does.
+func (b *bootstrapSim) initialize(n *simNode) {
+	if n.disk.used && b.toldOnce {
+		return
+	}
+	isTold := !b.toldOnce || n == b.nodes[0] || n.name != b.wiped && b.rng.IntN(3) > 0
+	n.disk.used = true
+	n.disk.founder = isTold && slices.Contains(b.initialVoters, n.name)
+}
+
 // sendRequest sends a request to a random instance. The response may arrive late or never.
 func (b *bootstrapSim) sendRequest(n *simNode) {
 	state := b.stateOf(n)
@@ -108,10 +126,10 @@
 	case n.core == nil:
 		b.start(n)
 	case k < 4:
-		lose := b.wipedDisks == 0 && b.highestCommitIndex() == 0 && b.rng.IntN(2) == 0
+		lose := b.wiped == "" && b.highestCommitIndex() == 0 && b.rng.IntN(2) == 0 && !(b.toldOnce && n == b.nodes[0])
 		b.crash(n, false)
 		if lose {
-			b.wipedDisks++
+			b.wiped = n.name
 			b.wipeDisk(n)
 		}
 		if b.rng.IntN(2) == 0 {
@@ -186,5 +204,6 @@
 }
 
 // Guards against two groups, or none, when instances bootstrap in any order while one of
-// them loses its disk, instances crash, freeze or are partitioned, and responses are late.
-func TestBootstrapUnderFaults(t *testing.T) { checkRuns(t, 41, 200, runBootstrap) }
+// them loses its disk, instances crash, freeze or are partitioned, and responses are late. In every
+// second run, an instance that was killed is not told again to form the group.
+func TestBootstrapUnderFaults(t *testing.T) { checkRuns(t, 41, 400, runBootstrap) }
--- a/plugin/quorum/bootstrap_test.go
+++ b/plugin/quorum/bootstrap_test.go
@@ -28,7 +28,7 @@
 		{"first voter knows all voters", "a", map[string]bootstrapResponse{"b": ready(2), "c": ready(3)}, bootstrapForm},
 		{"another voter knows all voters", "b", map[string]bootstrapResponse{"a": ready(2), "c": ready(3)}, bootstrapWait},
 	} {
-		state := &bootstrapState{self: replog.Member{ID: 1, Name: tc.self}, voters: voters, ids: map[string]replog.MemberID{}}
+		state := newBootstrapState(replog.Member{ID: 1, Name: tc.self}, true, voters)
 		got := bootstrapWait
 		for _, name := range []string{"a", "b", "c", "d"} {
 			if resp, ok := tc.answers[name]; ok {
@@ -72,7 +72,7 @@
 // configuration and sends requests with its new member ID; then a response from before
 // the loss arrives at another voter.
 func TestResponseOfAnEarlierRoundIsIgnored(t *testing.T) {
-	state := &bootstrapState{self: replog.Member{ID: 2, Name: "b"}, voters: []string{"a", "b", "c"}, ids: map[string]replog.MemberID{}}
+	state := newBootstrapState(replog.Member{ID: 2, Name: "b"}, true, []string{"a", "b", "c"})
 	core := newEmptyCore(2)
 	state.newResponse(core, 2, "a", 1)
 	earlierRound := state.round
--- a/plugin/quorum/join.go
+++ b/plugin/quorum/join.go
@@ -36,10 +36,13 @@
 		return
 	}
 	q.lastRequest = now
-	switch {
-	case q.bootstrap != nil:
+	if q.bootstrap != nil && q.core.LastIndex() > 0 {
+		q.bootstrap = nil // the group has added this instance
+	}
+	if q.bootstrap != nil {
 		q.requestBootstrap()
-	case q.shouldRequestJoin():
+	}
+	if (q.bootstrap == nil || !q.bootstrap.founder) && q.shouldRequestJoin() {
 		q.requestJoin()
 	}
 }
@@ -248,8 +251,8 @@
 	return joinResponse{}, nil
 }
 
-// requestBootstrap asks the other instances whether a group exists and whether they are
-// bootstrapping one; mu is held.
+// requestBootstrap asks the other instances whether a group exists and whether their logs are
+// empty; mu is held.
 func (q *Quorum) requestBootstrap() {
 	step, config := q.bootstrap.composeConfig() // a group of one voter needs no responses
 	q.runBootstrapStep(q.now(), step, config)
@@ -277,7 +280,7 @@
 	case bootstrapWait:
 		return
 	case bootstrapRefuse:
-		if q.s.OpenVoters > 0 {
+		if q.s.OpenVoters > 0 || !q.c.Bootstrap {
 			break // the instance joins the existing group
 		}
 		q.afterUnlock(func() {
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -45,6 +45,8 @@
 	evDiskFull          = event.Declare(365, zerolog.ErrorLevel, "disk is full; the instance does not vote until a write succeeds")
 	evDiskFreed         = event.Declare(366, zerolog.InfoLevel, "disk accepts writes again")
 	evSnapshotSkipped   = event.Declare(367, zerolog.WarnLevel, "snapshot not written: the disk has no room for it")
+	evBootstrapBegun    = event.Declare(369, zerolog.InfoLevel, "bootstrap begun: the data folder says that this instance forms a group")
+	evBootstrapResumed  = event.Declare(368, zerolog.InfoLevel, "bootstrap continues that was begun before a restart")
 	evBootstrapIgnored  = event.Declare(362, zerolog.WarnLevel, "bootstrap ignored: the data folder belongs to a group")
 )
 
@@ -78,10 +80,12 @@
 	// takeRecovered returns the state that the journal recovered. It is called once.
 	takeRecovered func() journal.State
 	peer          *peer.Peer
-	stateMachine  api.StateMachine
-	memberID      replog.MemberID
-	startTime     time.Time // epoch of raft.Instant on this instance
-	metrics       counters
+	// isDurable is set if the journal is on a disk.
+	isDurable    bool
+	stateMachine api.StateMachine
+	memberID     replog.MemberID
+	startTime    time.Time // epoch of raft.Instant on this instance
+	metrics      counters
 
 	// mu guards the fields below. While mu is held, no function of another package that
 	// blocks or takes a lock is called, except to queue jobs on the worker pool.
@@ -113,7 +117,7 @@
 	appliedBytes  uint64          // size of the entries applied since the last snapshot
 	pendingJoins  []replog.Member // on the leader: instances that requested to join
 	lastRequest   raft.Instant    // time of the last request to join or to bootstrap
-	bootstrap     *bootstrapState // nil unless the instance is bootstrapping
+	bootstrap     *bootstrapState // nil unless the log is empty and the journal is on a disk
 	joining       bool            // the instance is not a member and has requested to join
 	receiving     *incomingSnapshot
 	sending       map[replog.MemberID]bool // members to which a snapshot is being sent
@@ -136,7 +140,7 @@
 func newQuorum(c *kernel.Context) (*Quorum, error) {
 	j := kernel.MustFind[*journal.Journal](c, "journal")
 	q := &Quorum{
-		c: c, s: c.Settings.(*Settings), mu: rank.NewMutex(rank.Quorum), journal: j, takeRecovered: j.TakeRecoveredState, peer: kernel.MustFind[*peer.Peer](c, "peer"),
+		c: c, s: c.Settings.(*Settings), mu: rank.NewMutex(rank.Quorum), journal: j, isDurable: j.IsDurable(), takeRecovered: j.TakeRecoveredState, peer: kernel.MustFind[*peer.Peer](c, "peer"),
 		memberNames: map[replog.MemberID]string{}, stateMachine: noopStateMachine{},
 		sending: map[replog.MemberID]bool{}, links: map[string]*peer.Link{}, zones: map[string]string{c.Instance.Name: c.Instance.AvailabilityZone},
 	}
@@ -204,11 +208,8 @@
 func (q *Quorum) Start(context.Context) error {
 	q.startTime = q.c.Clock.Now()
 	r := q.takeRecovered()
-	if r.MemberID == 0 {
-		r.MemberID = replog.MemberID(randomID())
-		if err := q.journal.Save(journal.Batch{MemberID: r.MemberID}); err != nil {
-			return err
-		}
+	if err := q.initialize(&r); err != nil {
+		return err
 	}
 	if err := q.recover(r); err != nil {
 		return err
@@ -223,6 +224,38 @@
 	return nil
 }
 
+// initialize saves the member ID of a new data folder, and that the instance forms a group if it is told to. Both are in one
+// write, the first one, so that an instance that is killed later resumes the bootstrap although it is not told to again.
+func (q *Quorum) initialize(r *journal.State) error {
+	var b journal.Batch
+	if r.MemberID == 0 {
+		b.MemberID = replog.MemberID(randomID())
+		r.MemberID = b.MemberID
+	}
+	isEmpty := len(r.Entries) == 0 && r.Snapshot.Index == 0
+	switch {
+	case !isEmpty && q.c.Bootstrap:
+		q.c.Log.Log(evBootstrapIgnored).Send()
+	case isEmpty && q.c.Bootstrap && !q.isInitialVoter() && q.s.OpenVoters == 0:
+		return errors.Newf("instance %q is not listed as a voter and cannot form a group", q.c.Instance.Name)
+	case isEmpty && q.c.Bootstrap && q.isInitialVoter() && len(r.Founders) == 0:
+		b.Founders = q.initialVoters()
+		r.Founders = b.Founders
+	case isEmpty && len(r.Founders) > 0:
+		q.c.Log.Log(evBootstrapResumed).Int("founders", len(r.Founders)).Send()
+	}
+	if b.MemberID == 0 && b.Founders == nil {
+		return nil
+	}
+	if err := q.journal.Save(b); err != nil {
+		return err
+	}
+	if b.Founders != nil {
+		q.c.Log.Log(evBootstrapBegun).Int("founders", len(b.Founders)).Send()
+	}
+	return nil
+}
+
 // connect opens a permanent link to another instance, unless there is one already.
 func (q *Quorum) connect(m peer.Member) {
 	q.mu.Lock()
@@ -256,16 +289,13 @@
 	}, raft.RecoveredState{HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries}, q.now())
 	q.disk.commit = r.HardState.Commit
 	q.disk.releasedVersion = resource.Version(r.ReleasedVersion)
-	if q.core.LastIndex() == 0 && q.c.Bootstrap && (q.isInitialVoter() || q.s.OpenVoters == 0) {
-		q.bootstrap = &bootstrapState{self: replog.Member{ID: q.memberID, Name: q.c.Instance.Name}, voters: q.initialVoters(), ids: map[string]replog.MemberID{}}
+	if q.core.LastIndex() == 0 && q.isDurable {
+		q.bootstrap = newBootstrapState(replog.Member{ID: q.memberID, Name: q.c.Instance.Name}, len(r.Founders) > 0, r.Founders)
 	}
 	q.applying = true
 	q.mu.Unlock()
-	if q.c.Bootstrap && q.core.LastIndex() != 0 {
-		q.c.Log.Log(evBootstrapIgnored).Send()
-	}
-	if q.bootstrap != nil && !q.isInitialVoter() {
-		return errors.Newf("instance %q is not listed as a voter and cannot form a group", q.c.Instance.Name)
+	for _, name := range r.Founders {
+		q.peer.LearnByName(name, "") // the seeds may have changed since
 	}
 	for q.applyBatch() {
 	}
--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -34,10 +34,12 @@
 
 // simDisk is the state of an instance that survives a crash.
 type simDisk struct {
-	member    replog.MemberID
-	hardState replog.HardState
-	snapshot  replog.Snapshot
-	entries   []replog.Entry
+	member replog.MemberID
+	// used is set once the disk was written to; founder, if it was first used to form a group.
+	used, founder bool
+	hardState     replog.HardState
+	snapshot      replog.Snapshot
+	entries       []replog.Entry
 }
 
 func (d *simDisk) append(entries []replog.Entry) {
--- a/plugin/quorum/wire.go
+++ b/plugin/quorum/wire.go
@@ -130,8 +130,10 @@
 // bootstrapResponse tells what the sender knows of a group.
 type bootstrapResponse struct {
 	ID replog.MemberID `json:"id"`
-	// Bootstrap is true while the sender is bootstrapping a group.
+	// Bootstrap is true while the sender, a founder, is bootstrapping a group.
 	Bootstrap bool `json:"bootstrap"`
+	// Empty is true if the log of the sender, which has a disk, is empty. Earlier versions do not send it.
+	Empty bool `json:"empty,omitempty"`
 	// Exists is true if the sender belongs to a group.
 	Exists bool `json:"exists"`
 	// Included is true if the requesting member belongs to the sender's group.
