announce, distribution: an instance without records confirms no end

Cause: a node that was restarted and knows of no upstream took being attached as proof that there was nothing to close. A control instance that has just started does not know the records of the others yet, so nobody kept the end, and a late heartbeat brought the endpoint back.

Change: while such a report waits, the node asks its instance what is known of it (node.known). The answer counts once the instance has the records of the others, or knows the node; then the end is announced.

--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -13,6 +13,7 @@
 	NodeUpdate         = "node.update"         // notification to the node, Update
 	NodeAck            = "node.ack"            // notification, Ack
 	NodeAnnounce       = "node.announce"       // call, resource.Announcement to AnnounceReply
+	NodeKnown          = "node.known"          // call without parameters, to KnownReply
 	NodePing           = "node.ping"           // call, Ping to Pong
 	DiscoveryDelta     = "discovery.delta"     // call, Records to RecordsReply
 	DiscoverySync      = "discovery.sync"      // call, Records to RecordsReply
@@ -64,6 +65,15 @@
 	Known *resource.Announcement `json:"known,omitempty"`
 }
 
+// KnownReply tells a node what the instance knows of it.
+type KnownReply struct {
+	// Known is as in HelloReply.
+	Known *resource.Announcement `json:"known,omitempty"`
+	// Complete is true if the instance has the records of the other instances: Known is then nil only if no
+	// instance that it has reached knows of the node. An instance that has just started is not complete.
+	Complete bool `json:"complete"`
+}
+
 // Currency states that the configuration of a control instance had Version as its newest version AgeMillis before
 // the message was sent, by the word of a majority of the voters. A node that holds Version or a later one had
 // the newest configuration at that time.
--- a/plugin/announce/plugin.go
+++ b/plugin/announce/plugin.go
@@ -65,10 +65,10 @@
 	// stop is the planned stop; nil until one begins, and again after the upstream is announced again.
 	stop       *plannedStop
 	heartbeats heartbeats
-	// attached is set once the node has been attached to a control instance. known is the last
-	// announcement of the node that the instance knew of then; nil if it knew of none.
-	attached bool
-	known    *resource.Announcement
+	// known is the last announcement of the node that a control instance knew of when the node was attached or asked
+	// for it; nil if none did. unknown is set if the last one that was asked has the records of the others and knows of none.
+	known   *resource.Announcement
+	unknown bool
 	// recorded is closed, and replaced, when what the control instances have stored may have changed.
 	recorded chan struct{}
 
--- a/plugin/announce/restore.go
+++ b/plugin/announce/restore.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json"
 
+	"github.com/celeryyard/celeryyard/core/peerapi"
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
@@ -38,10 +41,14 @@
 }
 
 // handleAttach learns what the control instance knows of the upstream, and announces the record.
-func (a *Announce) handleAttach(known *resource.Announcement) {
+func (a *Announce) handleAttach(known *resource.Announcement) { a.handleKnown(known, false) }
+
+// handleKnown is like handleAttach. complete is set if known is the answer of an instance that has the records of the
+// others.
+func (a *Announce) handleKnown(known *resource.Announcement, complete bool) {
 	closed := false
 	a.mu.Lock()
-	a.attached = true
+	a.unknown = known == nil && complete
 	if known != nil {
 		a.known = known
 		if closed = a.heartbeats.restore(known); closed && a.stop == nil {
@@ -88,6 +95,23 @@
 	a.recorded = make(chan struct{})
 }
 
+// knownInterval is the interval at which a node without a record asks what is known of it, while a report of the end of
+// its upstream waits. An instance that has just started may not know yet.
+const knownInterval = 150 * time.Millisecond
+
+// requestKnown asks the control instance what it knows of this node.
+func (a *Announce) requestKnown() {
+	a.session.Call(peerapi.NodeKnown, struct{}{}, a.s.CallTimeout.AsDuration(), func(raw []byte, err error) {
+		var r peerapi.KnownReply
+		if err == nil {
+			err = json.Unmarshal(raw, &r)
+		}
+		if err == nil && (r.Known != nil || r.Complete) {
+			a.handleKnown(r.Known, r.Complete)
+		}
+	})
+}
+
 // ErrNotRecorded means that no control instance has stored the reports of the upstream.
 var ErrNotRecorded = errors.New("the report is not stored by a control instance yet")
 
@@ -99,16 +123,23 @@
 	for {
 		a.mu.Lock()
 		done := a.announcer.isConfirmed()
-		if a.announcer.desiredRecord.Node == "" {
-			done = a.attached // nothing is known that could be closed
+		isMissing := a.announcer.desiredRecord.Node == ""
+		if isMissing {
+			done = a.unknown || a.known != nil // nothing is known that could be closed, or it is closed already
 		}
 		changed := a.recorded
 		a.mu.Unlock()
 		if done {
 			return nil
 		}
+		var again <-chan time.Time
+		if isMissing {
+			a.requestKnown()
+			again = time.After(knownInterval)
+		}
 		select {
 		case <-changed:
+		case <-again:
 		case <-ctx.Done():
 			return ErrNotRecorded
 		}
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -20,8 +20,8 @@
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/view"
 
-	_ "github.com/celeryyard/celeryyard/plugin/session" // registers itself
-	_ "github.com/celeryyard/celeryyard/plugin/trace"   // registers itself
+	nodesession "github.com/celeryyard/celeryyard/plugin/session"
+	_ "github.com/celeryyard/celeryyard/plugin/trace" // registers itself
 )
 
 func init() {
@@ -242,10 +242,12 @@
 	nodeCount int
 	// leaveDelay is the value of the setting announce/leave_delay of the nodes.
 	leaveDelay string
+	// settleTimeout is the value of the setting discovery/settle_timeout of control instances that are started.
+	settleTimeout time.Duration
 }
 
 func newFleet(t testing.TB, zones ...string) *fleet {
-	f := &fleet{t: t, keyFile: kerneltest.WriteFleetKeyFile(t), leaveDelay: "0s"}
+	f := &fleet{t: t, keyFile: kerneltest.WriteFleetKeyFile(t), leaveDelay: "0s", settleTimeout: 300 * time.Millisecond}
 	for i, z := range zones {
 		f.members = append(f.members, peer.Member{Name: fmt.Sprintf("control-%d", i), Address: kerneltest.FreeAddress(t), AvailabilityZone: z})
 	}
@@ -276,7 +278,7 @@
 func (f *fleet) startControl(i int, extra string) *controlInstance {
 	m := f.members[i]
 	text := fmt.Sprintf(`{"instance": {"name": %q, "availability_zone": %q, "fleet_key_file": %q, "seed": %d, "data_folder": %q},
-		"peer": {"listen": %q, "instances": %s}, "discovery": {"settle_timeout": "300ms"}%s}`, m.Name, m.AvailabilityZone, f.keyFile, i+1, f.t.TempDir(), m.Address, f.instancesJSON(), extra)
+		"peer": {"listen": %q, "instances": %s}, "discovery": {"settle_timeout": %q}%s}`, m.Name, m.AvailabilityZone, f.keyFile, i+1, f.t.TempDir(), m.Address, f.instancesJSON(), f.settleTimeout, extra)
 	// Wait for the listener: a node that starts before the instance listens would attach to
 	// another one.
 	defer kerneltest.WaitUntil(f.t, waitTimeout, "listener of the instance", func() bool {
@@ -299,6 +301,7 @@
 	name     string
 	view     *view.View
 	announce *announce.Announce
+	session  *nodesession.Session
 	peer     *peer.Peer
 	recorder *serveRecorder
 	stop     func()
@@ -315,7 +318,7 @@
 		"peer": {"instances": %s}, "session": {"services": %s%s}%s}`, name, zone, f.keyFile, 100+f.nodeCount, f.instancesJSON(), services, extra, upstream)
 	k, stop := kerneltest.Start(f.t, []string{"peer", "view", "probe", "session", "announce"}, text, false)
 	return &node{
-		Kernel: k, name: name, view: k.Plugin("view").(*view.View), announce: k.Plugin("announce").(*announce.Announce),
+		Kernel: k, name: name, view: k.Plugin("view").(*view.View), announce: k.Plugin("announce").(*announce.Announce), session: k.Plugin("session").(*nodesession.Session),
 		peer: k.Plugin("peer").(*peer.Peer), recorder: k.Plugin("probe").(*serveRecorder), stop: stop,
 	}
 }
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -17,6 +17,7 @@
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/rpc"
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
+	"github.com/celeryyard/celeryyard/plugin/announce"
 )
 
 // rawNode is a node whose messages, acknowledgements included, are sent by the test.
@@ -387,3 +388,37 @@
 		t.Fatalf("the endpoint was withdrawn after %v", d)
 	}
 }
+
+// Guards against the end of an upstream that is acknowledged although nobody keeps it: a node that was restarted knows of no
+// upstream, and its control instance, which has just started, does not know the records of the others yet.
+func TestEndIsNotRecordedByAnInstanceWithoutRecords(t *testing.T) {
+	f := newFleet(t, "cant-a", "cant-b")
+	f.settleTimeout = time.Minute
+	started := f.startControl(0, "")
+	n := f.startNode("n1", "cant-a", "", allServices, "")
+	kerneltest.WaitUntil(t, waitTimeout, "session", func() bool { return n.version() == 0 && n.session.Attached() })
+	n.announce.HandleReport(announce.Report{ID: "i-1", StartedAtMillis: 1, Sequence: 9, Gone: true})
+	recorded := func(timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		return n.announce.AwaitRecorded(ctx)
+	}
+	if err := recorded(500 * time.Millisecond); err == nil {
+		t.Fatal("the end was acknowledged by an instance that has no records of the others")
+	}
+	// The other instance, which knows the node, connects.
+	f.settleTimeout = 100 * time.Millisecond
+	other := f.startControl(1, "")
+	e := resource.Endpoint{Node: "n1", Service: "catalogo", Incarnation: 7, Address: "127.0.0.1:9", Slots: 4, State: resource.StateReady, AvailabilityZone: "cant-a"}
+	other.discovery.Announce(resource.Announcement{Endpoint: e, Upstream: resource.UpstreamStart{ID: "i-1", StartedAtMillis: 1, Sequence: 5}})
+	kerneltest.WaitUntil(t, waitTimeout, "records of the other instance", func() bool { return started.discovery.LastAnnouncement("n1") != nil })
+	if err := recorded(waitTimeout); err != nil {
+		t.Fatal(err)
+	}
+	isClosed := func(c *controlInstance) bool { return c.discovery.LastAnnouncement("n1").Closed.Final }
+	if !isClosed(started) {
+		t.Error("the instance of the node does not keep the end that was acknowledged")
+	}
+	// The connection from the started instance to the other one may still be down.
+	kerneltest.WaitUntil(t, waitTimeout, "end at the other instance", func() bool { return isClosed(other) })
+}
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -279,6 +279,17 @@
 	r.Reply(reply)
 }
 
+// onKnown tells a node what is known of it.
+func (d *Distribution) onKnown(c *rpc.Conn, r *rpc.Request) {
+	e := d.touchSession(c)
+	if e == nil {
+		d.refuseMessage(c, r, errors.Newf("process %q has no session", c.Peer))
+		return
+	}
+	complete := d.discovery.IsSettled() // read first: a record that arrives in between is then not missed
+	r.Reply(&peerapi.KnownReply{Known: d.discovery.LastAnnouncement(e.node), Complete: complete})
+}
+
 // onClose ends a session. The lease of the node's endpoint starts to expire unless the node
 // already has a newer session with this instance.
 func (d *Distribution) onClose(c *rpc.Conn) {
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -148,6 +148,7 @@
 	d.peer.Handle(peerapi.NodeAck, d.onAck)
 	d.peer.Handle(peerapi.NodePing, d.onPing)
 	d.peer.Handle(peerapi.NodeAnnounce, d.onAnnounce)
+	d.peer.Handle(peerapi.NodeKnown, d.onKnown)
 	d.peer.Handle(peerapi.DistributionStatus, d.onStatus)
 	d.peer.OnClose(d.onClose)
 	d.catalog.Watch(func(resource.Version) { d.release(d.catalog.Version()) })
