distribution: failing test, an instance with an earlier clock is ignored

Cause: the epoch of an instance's records is the time of its start. After a start with a clock behind that of the last one, the others take its records for late ones of that start, for as long as the clock was behind.

--- a/kernel/kerneltest/kerneltest.go
+++ b/kernel/kerneltest/kerneltest.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/clock"
 	"github.com/celeryyard/celeryyard/kernel/settings"
 )
 
@@ -70,12 +71,18 @@
 // Start runs a kernel with the plug-ins and the text of a settings file. The returned
 // function stops the kernel; it is also called at the end of the test.
 func Start(t testing.TB, plugins []string, text string, bootstrap bool) (*kernel.Kernel, func()) {
+	t.Helper()
+	return StartWithClock(t, plugins, text, bootstrap, clock.System{})
+}
+
+// StartWithClock is like Start with a clock other than that of the operating system.
+func StartWithClock(t testing.TB, plugins []string, text string, bootstrap bool, c clock.Clock) (*kernel.Kernel, func()) {
 	t.Helper()
 	file, err := settings.Parse("test.json", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	k, err := kernel.New(kernel.Options{Plugins: plugins, Settings: file, Log: newLogWriter(), Bootstrap: bootstrap})
+	k, err := kernel.New(kernel.Options{Plugins: plugins, Settings: file, Log: newLogWriter(), Bootstrap: bootstrap, Clock: c})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -13,6 +13,7 @@
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/kernel"
+	"github.com/celeryyard/celeryyard/kernel/clock"
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
 	"github.com/celeryyard/celeryyard/plugin/announce"
 	_ "github.com/celeryyard/celeryyard/plugin/capacity" // registers itself
@@ -244,8 +245,18 @@
 	leaveDelay string
 	// settleTimeout is the value of the setting discovery/settle_timeout of control instances that are started.
 	settleTimeout time.Duration
+	// clockOffset is added to the time of control instances that are started.
+	clockOffset time.Duration
 }
 
+// offsetClock is the system clock with an offset.
+type offsetClock struct {
+	clock.System
+	offset time.Duration
+}
+
+func (c offsetClock) Now() time.Time { return time.Now().Add(c.offset) }
+
 func newFleet(t testing.TB, zones ...string) *fleet {
 	f := &fleet{t: t, keyFile: kerneltest.WriteFleetKeyFile(t), leaveDelay: "0s", settleTimeout: 300 * time.Millisecond}
 	for i, z := range zones {
@@ -288,7 +299,7 @@
 		}
 		return c.Close() == nil
 	})
-	k, stop := kerneltest.Start(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "capacity", "distribution"}, text, false)
+	k, stop := kerneltest.StartWithClock(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "capacity", "distribution"}, text, false, offsetClock{offset: f.clockOffset})
 	return &controlInstance{
 		Kernel: k, catalog: k.Plugin("catalog").(*fakeCatalog), log: k.Plugin("quorum").(*fakeLog),
 		discovery: k.Plugin("discovery").(*discovery.Discovery), distribution: k.Plugin("distribution").(*Distribution), stop: stop,
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -422,3 +422,19 @@
 	// The connection from the started instance to the other one may still be down.
 	kerneltest.WaitUntil(t, waitTimeout, "end at the other instance", func() bool { return isClosed(other) })
 }
+
+// Guards against a control instance whose records the others ignore, because its clock is behind that of its last start: the
+// endpoints of its nodes are lost to the rest of the fleet.
+func TestInstanceThatStartsWithAnEarlierClockIsFollowed(t *testing.T) {
+	f := newFleet(t, "cant-a", "cant-b")
+	a, b := f.startControl(0, ""), f.startControl(1, "")
+	first := f.startNode("n1", "cant-b", "catalogo", allServices, "")
+	known := func(node string) func() bool { return func() bool { return a.discovery.LastAnnouncement(node) != nil } }
+	kerneltest.WaitUntil(t, waitTimeout, "record of a node of the first start", known("n1"))
+	first.stop()
+	b.stop()
+	f.clockOffset = -time.Hour
+	f.startControl(1, "")
+	f.startNode("n2", "cant-b", "catalogo", allServices, "")
+	kerneltest.WaitUntil(t, waitTimeout, "record of a node of the second start", known("n2"))
+}
