--- a/plugin/inbound/upstream.go
+++ b/plugin/inbound/upstream.go
@@ -39,13 +39,15 @@
 // applyUpstream adopts the current upstream. Calls that wait for one that was replaced or has closed are rejected at once,
 // since they can no longer run.
 func (in *Inbound) applyUpstream() {
-	for u, adopted := in.announce.Upstream(), false; !adopted; {
+	for {
+		u := in.announce.Upstream()
 		if in.setUpstream(u) {
 			in.client.CloseIdle(func(string) bool { return true })
 		}
-		// Changes may overlap: whoever has set the upstream last checks that it is still current.
-		latest := in.announce.Upstream()
-		u, adopted = latest, latest == u
+		// Changes may overlap: whoever has set the upstream last makes sure that it is still the current one.
+		if in.announce.Upstream() == u {
+			return
+		}
 	}
 }
 
--- a/plugin/outbound/stopping.go
+++ b/plugin/outbound/stopping.go
@@ -35,12 +35,13 @@
 	return stop.Fits(end)
 }
 
-// queueLimits returns how long the call may wait for a slot at the endpoint of an offer, which 0 leaves to the deadline,
-// and the longest stay in the queue there, which is 0 if the wait ends earlier anyway. wait is how long the call may
-// wait for a slot if this node does not stop; hasTarget tells whether that applies.
+// queueLimits returns two limits for the queue of an endpoint that a call is offered to. maxWait is the longest wait for a
+// slot; a call that is expected to wait longer is rejected on arrival. maxStay is the time after which a call that has not
+// started is returned. 0 means no limit but the deadline.
 //
-// An endpoint rejects a call whose expected wait is too long. The stay does not count for that before a planned stop: it
-// only makes the endpoint return the call in time, whenever the stop begins.
+// wait is the longest wait apart from a planned stop; it applies to routes with a target latency (hasTarget) only. stopping
+// tells whether this node stops. Before that, a call that could wait past latestStart is given a limit of its stay: it
+// may still get a slot in time, and it comes back in time whenever the stop begins.
 func queueLimits(now, deadline, latestStart time.Time, wait time.Duration, hasTarget, stopping bool) (maxWait, maxStay time.Duration) {
 	if hasTarget {
 		maxWait = wait
