--- a/plugin/operator/operator_test.go
+++ b/plugin/operator/operator_test.go
@@ -56,9 +56,14 @@
 }
 
 func startServer(t *testing.T, extraSettings string) *testServer {
+	t.Helper()
+	return startServerWithTokens(t, "../../examples/operators.json", extraSettings)
+}
+
+func startServerWithTokens(t *testing.T, tokensFile, extraSettings string) *testServer {
 	t.Helper()
 	addr := kerneltest.FreeAddress(t)
-	text := fmt.Sprintf(`{"instance": {"name": "a"}, "operator": {"listen": %q, "tokens_file": "../../examples/operators.json"%s}}`, addr, extraSettings)
+	text := fmt.Sprintf(`{"instance": {"name": "a"}, "operator": {"listen": %q, "tokens_file": %q%s}}`, addr, tokensFile, extraSettings)
 	k, _ := kerneltest.Start(t, []string{"quorum", "distribution", "catalog", "operator"}, text, false)
 	// On shutdown, the server waits five seconds for a connection that never carried a request.
 	t.Cleanup(http.DefaultClient.CloseIdleConnections)
