--- a/review/standin-3/endpoint.go
+++ b/review/standin-3/endpoint.go
@@ -115,9 +115,9 @@
 
 // report sends the next heartbeat and reports whether it was acknowledged.
 func (e *endpoint) report() bool {
+	sequence := e.nextSequence()
 	e.mu.Lock()
-	e.sequence++
-	state, sequence := e.state, e.sequence
+	state := e.state
 	e.mu.Unlock()
 	status := e.send(http.MethodPut, e.id, e.heartbeat(e.service, state, sequence))
 	e.m.w.rec.logf("heartbeat of %s: service %s, state %s, sequence %d -> %d", e.id, e.service, state, sequence, status)
@@ -153,19 +153,26 @@
 // leave deregisters the endpoint and ends it.
 func (e *endpoint) leave() {
 	close(e.stop)
-	e.mu.Lock()
-	e.sequence++
-	sequence := e.sequence
-	e.mu.Unlock()
-	status := e.send(http.MethodDelete, e.id, e.heartbeat(e.service, "draining", sequence))
+	status := e.send(http.MethodDelete, e.id, e.heartbeat(e.service, "draining", e.nextSequence()))
 	e.m.w.rec.logf("%s deregisters -> %d, and exits", e.id, status)
-	_ = e.server.Close()
+	e.end()
 }
 
 // crash ends the endpoint without a word.
 func (e *endpoint) crash() {
 	close(e.stop)
-	_ = e.server.Close()
+	e.end()
+}
+
+// end ends the process of the endpoint, which no longer reports itself.
+func (e *endpoint) end() { _ = e.server.Close() }
+
+// nextSequence returns the number of the next report.
+func (e *endpoint) nextSequence() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	return e.sequence
 }
 
 // arrivalsAfter returns the requests that reached the endpoint later than t.
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"encoded-prefix":   playEncodedPrefix,
 	"forged-heartbeat": playForgedHeartbeat,
+	"forgotten-end":    playForgottenEnd,
 	"pipelined":        playPipelined,
 	"reused-address":   playReusedAddress,
 }
