--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/celeryyard/celeryyard/core/httphead"
 )
 
 const routeHost = "shop.example"
@@ -32,7 +34,7 @@
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
-		client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+		client := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: httphead.MaxBytes}}
 		for i := 0; ; i++ {
 			select {
 			case <-c.stop:
