--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -38,7 +38,6 @@
 	}
 	defer func() { _ = file.Close() }()
 	rec := newRecorder(file)
-	defer rec.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.logf("case %s, disruption: %v", name, trouble)
 	folder, err := os.MkdirTemp("", "standin-3-")
@@ -57,6 +56,7 @@
 			m.kill()
 		}
 	}()
+	defer rec.close() // before the processes are killed
 	broken, err := cases[name](w, trouble)
 	switch {
 	case err != nil:
--- a/review/standin-3/memory.go
+++ b/review/standin-3/memory.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,14 +18,16 @@
 	manyRoutes = 6000
 	// lostShare is the share of the acknowledgements to the operator that are lost.
 	lostShare = 0.7
+	// ordersAtOnce is the number of orders that are in progress at once; the pages allow eight.
+	ordersAtOnce = 4
 	// memoryMB is the memory of a control instance in the small deployments, above which the platform ends its process.
 	memoryMB = 280
 	// endsForFault is how often processes of a machine must end for a fault.
 	endsForFault = 3
 )
 
-// playLostAcknowledgements lets an operator change one route of a long configuration again and again while most of the
-// acknowledgements are lost, so that it sends the same orders again. The rule Fault is broken if the platform has to
+// playLostAcknowledgements lets operators change one route of a long configuration again and again while most of the
+// acknowledgements are lost, so that they send the same orders again. The rule Fault is broken if the platform has to
 // end the processes of half of the core three times because of their memory.
 func playLostAcknowledgements(w *world, trouble bool) (bool, error) {
 	const service = "orders"
@@ -35,25 +38,30 @@
 	watch := newMemoryWatch(w)
 	var wg sync.WaitGroup
 	wg.Go(func() { watch.run(stop) })
-	o := &operator{w: w, client: &http.Client{Timeout: 2 * time.Second}, rest: restOfRoutes(service)}
 	until := time.Now().Add(110 * time.Second)
+	o := &operators{w: w, client: &http.Client{Timeout: 2 * time.Second}, rest: restOfRoutes(service), trouble: trouble, until: until, chains: make(chan struct{}, ordersAtOnce-1)}
 	for version := 2; time.Now().Before(until) && !watch.isFault(); version++ {
-		if !o.change(version, trouble, until) {
-			w.rec.logf("configuration r%d was not acknowledged", version)
-		}
+		o.change(version)
 	}
+	o.wg.Wait()
 	close(stop)
 	wg.Wait()
-	w.rec.logf("%d changes, %d orders sent again after a lost acknowledgement; ends of processes because of memory: %v; most memory, MB: %v", o.changes, o.repeats, watch.ends, watch.most)
+	w.rec.logf("%d changes, %d orders sent again after a lost acknowledgement; ends of processes because of memory: %v; most memory, MB: %v", o.changes, o.repeats.Load(), watch.ends, watch.most)
 	return watch.isFault(), nil
 }
 
-// operator sends configurations that differ in one route.
-type operator struct {
-	w                *world
-	client           *http.Client
-	rest             string
-	changes, repeats int
+// operators send configurations that differ in one route. One sends each change until it is accepted; once it is, the next one
+// builds on it, while the first goes on until it has got an acknowledgement.
+type operators struct {
+	w       *world
+	client  *http.Client
+	rest    string
+	trouble bool
+	until   time.Time
+	changes int
+	repeats atomic.Int64
+	chains  chan struct{} // holds an element for each order that is sent again
+	wg      sync.WaitGroup
 }
 
 // routeText returns a route as JSON.
@@ -73,27 +81,45 @@
 	return b.String()
 }
 
-// change sends a version until an acknowledgement arrives. With trouble, lostShare of them are lost.
-func (o *operator) change(version int, trouble bool, until time.Time) bool {
+// change sends a version until it is accepted. With trouble, lostShare of the acknowledgements are lost; the version is then
+// sent again until one arrives.
+func (o *operators) change(version int) {
 	body := fmt.Sprintf(`{"version":"r%d","baseVersion":"r%d","routes":[%s%s}`, version, version-1, routeText(0, 1000+version, "orders"), o.rest)
 	o.changes++
-	for try := 0; time.Now().Before(until); try++ {
-		m := o.w.machines[(version+try)%3]
-		status := o.put(m, body)
-		lost := trouble && status == http.StatusOK && rand.Float64() < lostShare
-		o.w.rec.logf("configuration r%d (%d bytes) to %s -> %d, acknowledgement lost: %v", version, len(body), m.name, status, lost)
-		switch {
-		case status == http.StatusOK && !lost:
-			return true
-		case lost:
-			o.repeats++
+	for try := 0; time.Now().Before(o.until); try++ {
+		accepted, lost := o.send(version, try, body)
+		if accepted && !lost {
+			return
 		}
+		if !accepted {
+			continue
+		}
+		o.chains <- struct{}{}
+		o.wg.Go(func() {
+			defer func() { <-o.chains }()
+			for try++; lost && time.Now().Before(o.until); try++ {
+				o.repeats.Add(1)
+				_, lost = o.send(version, try, body)
+			}
+		})
+		return
+	}
+}
+
+// send sends a version to the next control instance, and waits after a failure.
+func (o *operators) send(version, try int, body string) (accepted, lost bool) {
+	m := o.w.machines[(version+try)%3]
+	status := o.put(m, body)
+	accepted = status == http.StatusOK
+	lost = o.trouble && accepted && rand.Float64() < lostShare
+	o.w.rec.logf("configuration r%d (%d bytes) to %s -> %d, acknowledgement lost: %v", version, len(body), m.name, status, lost)
+	if lost || !accepted {
 		time.Sleep(time.Duration(min(10<<min(try, 4), 100)) * time.Millisecond)
 	}
-	return false
+	return accepted, lost || !accepted
 }
 
-func (o *operator) put(m *machine, body string) int {
+func (o *operators) put(m *machine, body string) int {
 	r, err := http.NewRequest(http.MethodPut, "http://"+m.address(offsetControl)+"/celeryyard/config", bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0
