closures: an acknowledged end of an upstream is in the replicated log

Cause: what had been acknowledged was only in the memory of the control instances and of the node. The same held for drains, for ends that are the first thing a restarted node hears, and where the disk of one instance is lost too.

Change: a drain or an end is acknowledged once it is in the replicated log, as a second state machine beside the catalog (core/statemachine, plugin/closures). Control instances show no endpoint as open that a closure of the log covers, and nodes refuse reports that one covers; they learn of it when they attach and when their instance applies one.

Why this works: what a majority of the voters has on disk is in the log of every instance that reaches a majority again, and nodes only use such an instance.

Ruled out: files of each instance without a quorum (a lost disk, an instance that was away); waiting for a second heartbeat; the start time of the node.

--- a/core/api/api.go
+++ b/core/api/api.go
@@ -41,6 +41,10 @@
 type Log interface {
 	// SetStateMachine sets the state machine. It must be called once, before Start.
 	SetStateMachine(sm StateMachine)
+	// AddStateMachine adds a state machine beside the one of SetStateMachine, with entries and a snapshot of its own. It
+	// returns the function that proposes its entries. It must be called before Start. name has 1 to 255 bytes and is part
+	// of the log, so it must never change.
+	AddStateMachine(name string, sm StateMachine) ProposeFunc
 	// Propose replicates data as a log entry. done is called once: with the result of the
 	// state machine after the entry has been applied on this instance, or with an error. The
 	// verdict of the error is NotRun if the entry can never be applied, and MayHaveRun otherwise.
@@ -59,7 +63,10 @@
 	ReleasedVersion() resource.Version
 }
 
-// StateMachine is the replicated state, provided by the plug-in "catalog". Its methods are
+// ProposeFunc is Log.Propose for the entries of one state machine.
+type ProposeFunc func(data []byte, timeout time.Duration, done func(result any, err error))
+
+// StateMachine is a part of the replicated state; the plug-ins "catalog" and "closures" provide one each. Its methods are
 // never called concurrently, and entries are applied in the order of the log.
 type StateMachine interface {
 	// Apply applies a committed entry. It must be deterministic.
@@ -84,6 +91,18 @@
 	Watch(f func(v resource.Version))
 }
 
+// Closures holds, by node, which upstreams have stated that they take no more calls; it is provided by the plug-in
+// "closures". It is replicated: what has been recorded outlives all processes of the fleet.
+type Closures interface {
+	// Record adds a closure. done is called once: with nil once the closure is on the disks of a majority of the voters, or
+	// with an error, after timeout at the latest; the closure may then be recorded all the same.
+	Record(node string, c resource.Closure, timeout time.Duration, done func(err error))
+	// Closures returns the closures of a node that this instance has applied. The result must not be changed.
+	Closures(node string) []resource.Closure
+	// Watch registers f to be called in a job with the nodes whose closures have changed. It must be called before Start.
+	Watch(f func(nodes []string))
+}
+
 // Discovery is the endpoint table of a control instance, provided by the plug-in
 // "discovery".
 type Discovery interface {
--- a/core/api/apitest/log.go
+++ b/core/api/apitest/log.go
@@ -9,6 +9,7 @@
 
 	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/core/statemachine"
 	"github.com/celeryyard/celeryyard/core/verdict"
 )
 
@@ -30,7 +31,7 @@
 // another in its own goroutine.
 type MemoryLog struct {
 	mu              sync.Mutex
-	stateMachine    api.StateMachine
+	machines        statemachine.Set
 	lastIndex       uint64
 	fault           Fault
 	releasedVersion resource.Version
@@ -61,7 +62,15 @@
 }
 
 // SetStateMachine implements api.Log.
-func (l *MemoryLog) SetStateMachine(sm api.StateMachine) { l.stateMachine = sm }
+func (l *MemoryLog) SetStateMachine(sm api.StateMachine) { l.machines.SetMain(sm) }
+
+// AddStateMachine implements api.Log.
+func (l *MemoryLog) AddStateMachine(name string, sm api.StateMachine) api.ProposeFunc {
+	l.machines.Add(name, sm)
+	return func(data []byte, timeout time.Duration, done func(any, error)) {
+		l.Propose(statemachine.Entry(name, data), timeout, done)
+	}
+}
 
 // Propose implements api.Log.
 func (l *MemoryLog) Propose(data []byte, _ time.Duration, done func(result any, err error)) {
@@ -74,7 +83,7 @@
 		if fault == Silent {
 			return
 		}
-		result := l.stateMachine.Apply(index, data)
+		result := l.machines.Apply(index, data)
 		if fault == LoseResponse {
 			done(nil, verdict.Wrap(verdict.MayHaveRun, errors.New("response was lost")))
 			return
--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -14,6 +14,8 @@
 	NodeAck            = "node.ack"            // notification, Ack
 	NodeAnnounce       = "node.announce"       // call, resource.Announcement to AnnounceReply
 	NodeKnown          = "node.known"          // call without parameters, to KnownReply
+	NodeClose          = "node.close"          // call, Closing to Empty
+	NodeClosures       = "node.closures"       // notification to the node, Closures
 	NodePing           = "node.ping"           // call, Ping to Pong
 	DiscoveryDelta     = "discovery.delta"     // call, Records to RecordsReply
 	DiscoverySync      = "discovery.sync"      // call, Records to RecordsReply
@@ -63,6 +65,19 @@
 	// Known is the last announcement of the node that the instance knows of; nil if there is none. A
 	// node that was restarted learns from it what its upstream stated before.
 	Known *resource.Announcement `json:"known,omitempty"`
+	// Closures holds the closures of upstreams of the node in the replicated log.
+	Closures []resource.Closure `json:"closures,omitempty"`
+}
+
+// Closing asks the instance to record a closure of an upstream of the node in the replicated log. It is answered once a
+// majority of the voters has the closure on disk, or with an error.
+type Closing struct {
+	Closure resource.Closure `json:"c"`
+}
+
+// Closures tells a node what has been added to HelloReply.Closures.
+type Closures struct {
+	Closures []resource.Closure `json:"c"`
 }
 
 // KnownReply tells a node what the instance knows of it.
@@ -167,13 +182,10 @@
 // State returns the state of the endpoint. It is the announced one unless the upstream has stated
 // before that it closes: a node that was restarted may have announced a report that was sent earlier.
 func (r *Record) State() resource.EndpointState {
-	switch {
-	case r.Endpoint.State == resource.StateGone || !r.Closed.Covers(r.Upstream):
+	if r.Endpoint.State == resource.StateGone || !r.Closed.Covers(r.Upstream) {
 		return r.Endpoint.State
-	case r.Closed.Final:
-		return resource.StateGone
 	}
-	return resource.StateDraining
+	return r.Closed.State()
 }
 
 // Newer reports whether r replaces o. Records are totally ordered by incarnation, then
--- a/core/resource/closure.go
+++ b/core/resource/closure.go
@@ -36,6 +36,14 @@
 	return c.Final || u.Sequence <= c.Start.Sequence
 }
 
+// State returns the state of an upstream that the closure covers.
+func (c Closure) State() EndpointState {
+	if c.Final {
+		return StateGone
+	}
+	return StateDraining
+}
+
 // Join returns the closure that covers more of the latest start. It is commutative, associative and
 // idempotent, so that instances that exchange closures in any order agree.
 func (c Closure) Join(o Closure) Closure {
@@ -50,6 +58,14 @@
 	return c
 }
 
+// Check returns an error if no closure of an upstream can have the value.
+func (c Closure) Check() error {
+	if n := len(c.Start.ID); n == 0 || n > maxEndpointNameBytes {
+		return errors.Newf("upstream ID has %d bytes, want 1 to %d", n, maxEndpointNameBytes)
+	}
+	return nil
+}
+
 // Announcement announces the upstream beside a node as an endpoint. The revision of the endpoint
 // increases with each announcement, so that all announcements of a node are totally ordered.
 type Announcement struct {
--- a/kernel/rank/rank.go
+++ b/kernel/rank/rank.go
@@ -21,6 +21,7 @@
 	Quorum       Rank = 40
 	Journal      Rank = 50
 	Catalog      Rank = 60
+	Closures     Rank = 65
 	Discovery    Rank = 70
 	Distribution Rank = 80
 	Capacity     Rank = 85
@@ -38,7 +39,7 @@
 
 var rankNames = map[Rank]string{
 	Kernel: "kernel", Peer: "peer", Session: "session", Quorum: "quorum", Journal: "journal",
-	Catalog: "catalog", Discovery: "discovery", Distribution: "distribution", Capacity: "capacity", View: "view",
+	Catalog: "catalog", Closures: "closures", Discovery: "discovery", Distribution: "distribution", Capacity: "capacity", View: "view",
 	Announce: "announce", Routing: "routing", Balancer: "balancer", Admission: "admission", Lineage: "lineage",
 	Idempotency: "idempotency", Load: "load", Pool: "pool", Events: "events",
 }
--- a/plugin/announce/plugin.go
+++ b/plugin/announce/plugin.go
@@ -95,6 +95,7 @@
 	if v, ok := kernel.Find[api.View](c, "view"); ok {
 		a.view = v
 	}
+	a.session.OnClosures(a.handleClosures)
 	a.session.OnAttach(a.handleAttach)
 	return a
 }
--- a/plugin/announce/report.go
+++ b/plugin/announce/report.go
@@ -46,6 +46,13 @@
 	closed resource.Closure
 	// known is the latest report before a restart of the node, as far as the control instances know it.
 	known resource.UpstreamStart
+	// recorded holds the closures of upstreams of this node that are known to be in the replicated log, at most one for each
+	// upstream ID.
+	recorded []resource.Closure
+	// ownRecord is the closure of a drain that this process has had recorded last. readySequence is that of the last accepted
+	// report of the current start that has neither Draining nor Gone set.
+	ownRecord     resource.Closure
+	readySequence uint64
 	// displaced is the last report of a live upstream whose address another one has claimed since; it has no
 	// ID if there is none.
 	displaced Report
@@ -105,11 +112,22 @@
 	case r.ID != h.latestReport.ID:
 		h.displaced = Report{}
 	}
+	if !r.Draining {
+		h.readySequence = r.Sequence
+	}
 	h.upstreamClosed = r.Draining
 	h.latestReport, h.lastReceivedAt = r, now
 	return true
 }
 
+// statedClosure returns the closure that a report with Draining or Gone set states.
+func (h *heartbeats) statedClosure(r Report, now time.Time) resource.Closure {
+	if r.Gone {
+		return resource.Closure{Start: h.endedStart(r, now), Final: true}
+	}
+	return resource.Closure{Start: r.start()}
+}
+
 // endedStart returns the start that a Gone report ends. If the report does not state its start time,
 // that is the start whose reports are known. A node that has started since then knows of none: the
 // start began before the report.
@@ -135,7 +153,7 @@
 	switch {
 	case r.Gone && r.Sequence == 0 && r.StartedAtMillis == 0:
 		return false // a Gone report without start time and sequence number cannot be ordered
-	case !r.Gone && h.closed.Covers(r.start()):
+	case !r.Gone && (h.closed.Covers(r.start()) || h.isRecorded(r.start())):
 		return true
 	case r.StartedAtMillis != 0 && latest.StartedAtMillis != 0 && r.StartedAtMillis != latest.StartedAtMillis:
 		return r.StartedAtMillis < latest.StartedAtMillis
--- a/plugin/announce/report_test.go
+++ b/plugin/announce/report_test.go
@@ -193,3 +193,50 @@
 		t.Error("services are not those of the clusters")
 	}
 }
+
+// Guards against late reports of an upstream whose closure is in the replicated log, against live ones that are taken for such,
+// and against a drain that is recorded for each of its heartbeats, or not again after it was cancelled.
+func TestRecordedClosures(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	ready := func(id string, at int64, n uint64) Report {
+		return Report{ID: id, StartedAtMillis: at, Sequence: n, Service: "s", Slots: 9}
+	}
+	final := resource.Closure{Start: resource.UpstreamStart{ID: "a", StartedAtMillis: 5, Sequence: 4}, Final: true}
+	drain := resource.Closure{Start: final.Start}
+	var h heartbeats
+	if !h.accept(ready("a", 5, 3), now) || !h.addRecorded([]resource.Closure{final}) || !h.upstreamClosed || h.recordedState() != resource.StateGone {
+		t.Fatal("an end that was learned after the report did not close the upstream")
+	}
+	for _, tc := range []struct {
+		r    Report
+		want bool
+	}{{ready("a", 5, 9), false}, {ready("a", 4, 9), false}, {ready("a", 6, 1), true}, {ready("b", 7, 1), true}} {
+		if got := h.accept(tc.r, now); got != tc.want {
+			t.Errorf("%+v: accepted %v", tc.r, got)
+		}
+	}
+	if h.needsRecord(final) || !h.needsRecord(resource.Closure{Start: resource.UpstreamStart{ID: "a", StartedAtMillis: 6, Sequence: 2}, Final: true}) {
+		t.Error("an end that is recorded is recorded again, or one of a later start is not")
+	}
+	h = heartbeats{}
+	h.accept(ready("a", 5, 3), now)
+	if !h.needsRecord(drain) {
+		t.Error("a drain is not recorded")
+	}
+	h.addRecorded([]resource.Closure{drain})
+	h.ownRecord = drain
+	again := resource.Closure{Start: resource.UpstreamStart{ID: "a", StartedAtMillis: 5, Sequence: 6}}
+	if h.needsRecord(again) || !h.needsRecord(final) {
+		t.Error("a repeated drain is recorded again, or the end after it is not")
+	}
+	h.accept(ready("a", 5, 5), now)
+	if !h.needsRecord(again) {
+		t.Error("a drain after a cancelled one is not recorded")
+	}
+	for i := range 3 * maxRecorded {
+		h.addRecorded([]resource.Closure{{Start: resource.UpstreamStart{ID: string(rune('A' + i))}, Final: true}})
+	}
+	if len(h.recorded) > maxRecorded {
+		t.Errorf("%d closures are kept", len(h.recorded))
+	}
+}
--- a/plugin/announce/restore.go
+++ b/plugin/announce/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -89,6 +90,103 @@
 	return resource.StateDraining
 }
 
+// isRecorded reports whether the replicated log has a closure that covers the report.
+func (h *heartbeats) isRecorded(u resource.UpstreamStart) bool {
+	return slices.ContainsFunc(h.recorded, func(c resource.Closure) bool { return c.Covers(u) })
+}
+
+// needsRecord reports whether the replicated log may lack what the closure states. A drain that is reported again needs no new
+// record unless the upstream was ready in between: the one that is recorded covers all its earlier reports.
+func (h *heartbeats) needsRecord(c resource.Closure) bool {
+	isSameStart := func(o resource.Closure) bool {
+		return o.Start.ID == c.Start.ID && o.Start.StartedAtMillis == c.Start.StartedAtMillis
+	}
+	if !c.Final && isSameStart(h.ownRecord) && h.readySequence <= h.ownRecord.Start.Sequence {
+		return false
+	}
+	return !slices.ContainsFunc(h.recorded, func(o resource.Closure) bool { return isSameStart(o) && o.Join(c) == o })
+}
+
+// maxRecorded bounds heartbeats.recorded. It is exceeded only by reports of other writers.
+const maxRecorded = 8
+
+// addRecorded joins closures of the replicated log with those that are known. It reports whether the upstream has closed
+// according to that, which was not known before.
+func (h *heartbeats) addRecorded(closures []resource.Closure) (closed bool) {
+	for _, c := range closures {
+		if i := slices.IndexFunc(h.recorded, func(o resource.Closure) bool { return o.Start.ID == c.Start.ID }); i >= 0 {
+			c = c.Join(h.recorded[i])
+			h.recorded = slices.Delete(h.recorded, i, i+1)
+		}
+		h.recorded = append(h.recorded, c)
+	}
+	if n := len(h.recorded) - maxRecorded; n > 0 {
+		h.recorded = slices.Delete(h.recorded, 0, n)
+	}
+	closed = !h.upstreamClosed && h.latestReport.ID != "" && h.isRecorded(h.latestReport.start())
+	h.upstreamClosed = h.upstreamClosed || closed
+	return closed
+}
+
+// recordedState returns the state of the upstream according to the replicated log, which has a closure that covers it.
+func (h *heartbeats) recordedState() resource.EndpointState {
+	for _, c := range h.recorded {
+		if c.Final && c.Covers(h.latestReport.start()) {
+			return resource.StateGone
+		}
+	}
+	return resource.StateDraining
+}
+
+// handleClosures learns which upstreams have closed from the replicated log. The closure of an upstream that is served is
+// announced, although the control instances have it too: the record must not say that it is ready.
+func (a *Announce) handleClosures(closures []resource.Closure) {
+	a.mu.Lock()
+	closed := a.heartbeats.addRecorded(closures)
+	if closed && a.stop == nil {
+		a.announcer.setState(a.heartbeats.recordedState(), 0)
+	}
+	id := a.heartbeats.latestReport.ID
+	a.mu.Unlock()
+	if closed {
+		a.c.Log.Log(evKnownClosed).Str("upstream", id).Send()
+		a.onUpstreamChange()
+		a.announce()
+	}
+}
+
+// handleRecorded notes that this process has had a closure recorded.
+func (a *Announce) handleRecorded(c resource.Closure) {
+	a.handleClosures([]resource.Closure{c})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !c.Final {
+		a.heartbeats.ownRecord = c
+	}
+}
+
+// record asks the control instance to record a closure in the replicated log, until that is done or ctx ends.
+func (a *Announce) record(ctx context.Context, c resource.Closure) error {
+	for {
+		recorded := make(chan error, 1)
+		a.session.Call(peerapi.NodeClose, &peerapi.Closing{Closure: c}, a.s.CallTimeout.AsDuration(), func(_ []byte, err error) { recorded <- err })
+		select {
+		case err := <-recorded:
+			if err == nil {
+				a.handleRecorded(c)
+				return nil
+			}
+		case <-ctx.Done():
+			return ErrNotRecorded
+		}
+		select {
+		case <-time.After(knownInterval):
+		case <-ctx.Done():
+			return ErrNotRecorded
+		}
+	}
+}
+
 // notifyRecorded wakes the callers of AwaitRecorded. The caller holds mu.
 func (a *Announce) notifyRecorded() {
 	close(a.recorded)
@@ -112,14 +210,34 @@
 	})
 }
 
-// ErrNotRecorded means that no control instance has stored the reports of the upstream.
-var ErrNotRecorded = errors.New("the report is not stored by a control instance yet")
+// ErrNotRecorded means that the fleet has not stored the reports of the upstream.
+var ErrNotRecorded = errors.New("the report is not stored by the control instances yet")
+
+// AwaitRecorded blocks until the closure that r states is in the replicated log, a control instance has stored what the
+// accepted reports have changed, and the instances connected to it have confirmed that. It returns ErrNotRecorded if ctx ends
+// before. r must have been passed to HandleReport. A report that closes the upstream may be acknowledged only then: all
+// processes of the fleet may be killed at one moment, and the upstream's earlier reports may arrive after that.
+func (a *Announce) AwaitRecorded(ctx context.Context, r Report) error {
+	now := a.c.Clock.Now()
+	a.mu.Lock()
+	c := a.heartbeats.statedClosure(r, now)
+	needsRecord := a.heartbeats.needsRecord(c)
+	a.mu.Unlock()
+	recorded := make(chan error, 1)
+	if needsRecord {
+		go func() { recorded <- a.record(ctx, c) }()
+	} else {
+		recorded <- nil
+	}
+	if err := a.awaitAnnounced(ctx); err != nil {
+		return err
+	}
+	return <-recorded
+}
 
-// AwaitRecorded blocks until a control instance has stored what the accepted reports have changed, and
-// the instances connected to it have confirmed a closure. It returns ErrNotRecorded if ctx ends before.
-// A report that closes the upstream may be acknowledged only then: a node that is restarted remembers
-// nothing else.
-func (a *Announce) AwaitRecorded(ctx context.Context) error {
+// awaitAnnounced blocks until a control instance has stored what the accepted reports have changed and the instances connected
+// to it have confirmed a closure, or returns ErrNotRecorded if ctx ends before.
+func (a *Announce) awaitAnnounced(ctx context.Context) error {
 	for {
 		a.mu.Lock()
 		done := a.announcer.isConfirmed()
--- a/plugin/discovery/closure_test.go
+++ b/plugin/discovery/closure_test.go
@@ -124,3 +124,48 @@
 	}, gen.UInt64()))
 	props.TestingRun(t)
 }
+
+// Guards against an upstream that is shown although the replicated log has its closure: before its record arrives, after it, in
+// a record that a restarted node announces, and beside a closure of another upstream of the node; and against a new start that
+// stays hidden.
+func TestRecordedClosureCountsForEveryRecord(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	u := resource.UpstreamStart{ID: "a", StartedAtMillis: 5, Sequence: 2}
+	final := resource.Closure{Start: resource.UpstreamStart{ID: "a", StartedAtMillis: 5, Sequence: 4}, Final: true}
+	other := resource.Closure{Start: resource.UpstreamStart{ID: "b", StartedAtMillis: 8, Sequence: 1}, Final: true}
+	drain := resource.Closure{Start: final.Start}
+	for _, tc := range []struct {
+		name     string
+		recorded []resource.Closure
+		own      resource.Closure
+		want     resource.EndpointState // "" if the endpoint is not shown
+	}{
+		{"end", []resource.Closure{final}, resource.Closure{}, ""},
+		{"end beside that of another upstream", []resource.Closure{final, other}, other, ""},
+		{"drain", []resource.Closure{drain}, resource.Closure{}, resource.StateDraining},
+		{"drain and an announced end", []resource.Closure{drain}, final, ""},
+		{"other upstream", []resource.Closure{other}, resource.Closure{}, resource.StateReady},
+	} {
+		for _, recordFirst := range []bool{false, true} {
+			tab := newTable("control-0", nil)
+			for _, first := range []bool{true, false} {
+				if first == recordFirst {
+					tab.setClosures("n", tc.recorded, now)
+				} else {
+					tab.announce(closureAnnouncement(2, 1, resource.StateReady, u, tc.own), now)
+				}
+			}
+			got := resource.EndpointState("")
+			if s := tab.endpointSet("s"); len(s.Endpoints) > 0 {
+				got = s.Endpoints[0].State
+			}
+			if got != tc.want || !tab.dirtyServices["s"] {
+				t.Errorf("%s, closure first %v: shown as %q, want %q", tc.name, recordFirst, got, tc.want)
+			}
+			tab.announce(closureAnnouncement(3, 1, resource.StateReady, resource.UpstreamStart{ID: "a", StartedAtMillis: 9, Sequence: 1}, resource.Closure{}), now)
+			if s := tab.endpointSet("s"); len(s.Endpoints) != 1 || s.Endpoints[0].State != resource.StateReady {
+				t.Errorf("%s: the new start is shown as %+v", tc.name, s.Endpoints)
+			}
+		}
+	}
+}
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -41,6 +41,7 @@
 	c        *kernel.Context
 	s        *Settings
 	peer     *peer.Peer
+	closures api.Closures // nil without that plug-in
 	trace    *trace.Trace
 	epoch    uint64
 	started  time.Time
@@ -94,6 +95,10 @@
 		defer d.mu.Unlock()
 		return float64(len(d.table.records))
 	})
+	if cl, ok := kernel.Find[api.Closures](c, "closures"); ok {
+		d.closures = cl
+		cl.Watch(d.applyClosures)
+	}
 	d.peer.OnInstanceUpdate(d.connect)
 	d.peer.Handle(peerapi.DiscoveryDelta, d.onDelta)
 	d.peer.Handle(peerapi.DiscoverySync, d.onSync)
@@ -155,6 +160,25 @@
 	return &a
 }
 
+// applyClosures reads the closures of nodes that have changed in the replicated log.
+func (d *Discovery) applyClosures(nodes []string) {
+	now := d.c.Clock.Now()
+	changed := make(map[string][]resource.Closure, len(nodes))
+	for _, node := range nodes {
+		changed[node] = d.closures.Closures(node)
+	}
+	d.mu.Lock()
+	d.trace.Record("discovery", "closures", now, "", changed)
+	for node, list := range changed {
+		d.table.setClosures(node, list, now)
+	}
+	dirty := len(d.table.dirtyServices) > 0
+	d.mu.Unlock()
+	if dirty {
+		d.scheduleFlush(true)
+	}
+}
+
 // Detach implements api.Discovery.
 func (d *Discovery) Detach(node string, incarnation uint64) {
 	now := d.c.Clock.Now()
--- a/plugin/discovery/replay_test.go
+++ b/plugin/discovery/replay_test.go
@@ -42,6 +42,12 @@
 			} else {
 				tab.applyDelta(&m, l.At)
 			}
+		case "closures":
+			var m map[string][]resource.Closure
+			decode(l, &m)
+			for node, list := range m {
+				tab.setClosures(node, list, l.At)
+			}
 		case "pause":
 			var d settings.Duration
 			decode(l, &d)
--- a/plugin/discovery/table.go
+++ b/plugin/discovery/table.go
@@ -19,6 +19,19 @@
 	// lost. It is not sent to other instances, and is cleared when the owner lists the record as
 	// alive.
 	presumedLost bool
+	// recorded holds the closures of the node's upstreams in the replicated log. Each instance has them from there.
+	recorded []resource.Closure
+}
+
+// State returns the state of the endpoint; see peerapi.Record. A closure in the replicated log counts like one of the record.
+func (r *record) State() resource.EndpointState {
+	state := r.Record.State()
+	for _, c := range r.recorded {
+		if state != resource.StateGone && c.Covers(r.Upstream) {
+			state = c.State()
+		}
+	}
+	return state
 }
 
 func (r *record) isLost() bool { return r.Lost || r.presumedLost }
@@ -49,6 +62,8 @@
 	owners map[string]*owner
 	// dirtyServices holds the services whose sets may have changed.
 	dirtyServices map[string]bool
+	// closures holds, by node, the closures in the replicated log.
+	closures map[string][]resource.Closure
 	// changedNodes holds the nodes whose records must be sent to other instances.
 	changedNodes map[string]bool
 }
@@ -57,6 +72,7 @@
 	t := &table{
 		self: self, records: map[string]*record{}, services: map[string]map[string]*record{},
 		owners: map[string]*owner{}, dirtyServices: map[string]bool{}, changedNodes: map[string]bool{},
+		closures: map[string][]resource.Closure{},
 	}
 	for _, o := range others {
 		t.owners[o] = &owner{silent: true}
@@ -104,7 +120,7 @@
 
 // store replaces the record of a node and marks the affected services as dirty.
 func (t *table) store(r peerapi.Record, now, expiringSince time.Time) {
-	n := &record{Record: r, expiringSince: expiringSince}
+	n := &record{Record: r, expiringSince: expiringSince, recorded: t.closures[r.Endpoint.Node]}
 	if old := t.records[r.Endpoint.Node]; old != nil {
 		if n.Closed = r.Closed.Join(old.Closed); n.Closed != r.Closed {
 			t.changedNodes[r.Endpoint.Node] = true // the sender lacks the closure
@@ -148,6 +164,27 @@
 	t.changedNodes[r.Endpoint.Node] = true
 }
 
+// setClosures replaces the closures of a node in the replicated log.
+func (t *table) setClosures(node string, closures []resource.Closure, now time.Time) {
+	if len(closures) == 0 {
+		delete(t.closures, node)
+	} else {
+		t.closures[node] = closures
+	}
+	r := t.records[node]
+	if r == nil {
+		return
+	}
+	before, wasAlive := r.State(), r.isAlive()
+	r.recorded = closures
+	if wasAlive && !r.isAlive() {
+		r.endedAt = now
+	}
+	if r.State() != before {
+		t.dirtyServices[r.Endpoint.Service] = true
+	}
+}
+
 func (t *table) unlink(r *record) {
 	nodes := t.services[r.Endpoint.Service]
 	delete(nodes, r.Endpoint.Node)
--- a/plugin/distribution/fakes_test.go
+++ b/plugin/distribution/fakes_test.go
@@ -17,6 +17,7 @@
 	"github.com/celeryyard/celeryyard/kernel/kerneltest"
 	"github.com/celeryyard/celeryyard/plugin/announce"
 	_ "github.com/celeryyard/celeryyard/plugin/capacity" // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/closures" // registers itself
 	"github.com/celeryyard/celeryyard/plugin/discovery"
 	"github.com/celeryyard/celeryyard/plugin/peer"
 	"github.com/celeryyard/celeryyard/plugin/view"
@@ -84,6 +85,24 @@
 }
 
 func (l *fakeLog) SetStateMachine(api.StateMachine) {}
+
+// AddStateMachine applies the entries of the machine on this instance only, outside a partition.
+func (l *fakeLog) AddStateMachine(_ string, sm api.StateMachine) api.ProposeFunc {
+	index := uint64(0)
+	return func(data []byte, timeout time.Duration, done func(any, error)) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.partitioned {
+			l.c.RunAfter(timeout, "fake", func() { done(nil, errors.New("no quorum")) })
+			return
+		}
+		l.c.RunAfter(time.Millisecond, "fake", func() {
+			index++
+			done(sm.Apply(index, data), nil)
+		})
+	}
+}
+
 func (l *fakeLog) Propose(_ []byte, _ time.Duration, done func(any, error)) {
 	done(nil, errors.New("fake log accepts no proposals"))
 }
@@ -299,7 +318,7 @@
 		}
 		return c.Close() == nil
 	})
-	k, stop := kerneltest.StartWithClock(f.t, []string{"trace", "peer", "quorum", "catalog", "discovery", "capacity", "distribution"}, text, false, offsetClock{offset: f.clockOffset})
+	k, stop := kerneltest.StartWithClock(f.t, []string{"trace", "peer", "quorum", "catalog", "closures", "discovery", "capacity", "distribution"}, text, false, offsetClock{offset: f.clockOffset})
 	return &controlInstance{
 		Kernel: k, catalog: k.Plugin("catalog").(*fakeCatalog), log: k.Plugin("quorum").(*fakeLog),
 		discovery: k.Plugin("discovery").(*discovery.Discovery), distribution: k.Plugin("distribution").(*Distribution), stop: stop,
--- a/plugin/distribution/faults_test.go
+++ b/plugin/distribution/faults_test.go
@@ -401,7 +401,7 @@
 	recorded := func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		return n.announce.AwaitRecorded(ctx)
+		return n.announce.AwaitRecorded(ctx, announce.Report{ID: "i-1", StartedAtMillis: 1, Sequence: 9, Gone: true})
 	}
 	if err := recorded(500 * time.Millisecond); err == nil {
 		t.Fatal("the end was acknowledged by an instance that has no records of the others")
--- a/plugin/distribution/handlers.go
+++ b/plugin/distribution/handlers.go
@@ -42,7 +42,7 @@
 	e.group = subscriptionGroup(e.session)
 	e.lastReceived.Store(now.UnixNano())
 	needsBarrier := d.attach(e, h, now)
-	reply.Known = d.discovery.LastAnnouncement(h.Node)
+	reply.Known, reply.Closures = d.discovery.LastAnnouncement(h.Node), d.closures.Closures(h.Node)
 	d.c.Log.Log(evAttached).Str("node", h.Node).Uint("version", uint64(h.Version)).Send()
 	if h.Version == 0 {
 		reply.WaitingReason = "the instance confirms that its configuration is current"
@@ -290,6 +290,52 @@
 	r.Reply(&peerapi.KnownReply{Known: d.discovery.LastAnnouncement(e.node), Complete: complete})
 }
 
+// closingTimeout bounds the time until a closure that a node reports is recorded or refused. An endpoint waits for an
+// acknowledgement for a second, and its node answers before.
+const closingTimeout = 700 * time.Millisecond
+
+// onClosing records a closure of an upstream of the node, and replies once that is done.
+func (d *Distribution) onClosing(c *rpc.Conn, r *rpc.Request) {
+	m := &peerapi.Closing{}
+	e := d.touchSession(c)
+	err := r.Decode(m)
+	if err == nil && e == nil {
+		err = errors.Newf("process %q has no session", c.Peer)
+	}
+	if err == nil {
+		err = m.Closure.Check()
+	}
+	if err != nil {
+		d.refuseMessage(c, r, err)
+		return
+	}
+	d.closures.Record(e.node, m.Closure, closingTimeout, func(err error) {
+		if err != nil {
+			d.c.Log.Log(evNotRecorded).Str("node", e.node).Str("upstream", m.Closure.Start.ID).Err(err).Send()
+			r.ReplyError(rpc.CodeFailed, err)
+			return
+		}
+		r.Reply(&peerapi.Empty{})
+	})
+}
+
+// sendClosures tells the attached nodes among the given ones which of their upstreams have closed. A node that was
+// restarted may have attached before this instance had applied the log.
+func (d *Distribution) sendClosures(nodes []string) {
+	for _, node := range nodes {
+		d.mu.Lock()
+		e := d.byNode[node]
+		d.mu.Unlock()
+		if e == nil {
+			continue // it is told in the reply to its hello
+		}
+		if err := e.conn.Notify(peerapi.NodeClosures, &peerapi.Closures{Closures: d.closures.Closures(node)}); err != nil {
+			d.c.Log.Log(evSendError).Str("node", node).Err(err).Send()
+			e.conn.Close()
+		}
+	}
+}
+
 // onClose ends a session. The lease of the node's endpoint starts to expire unless the node
 // already has a newer session with this instance.
 func (d *Distribution) onClose(c *rpc.Conn) {
--- a/plugin/distribution/plugin.go
+++ b/plugin/distribution/plugin.go
@@ -34,6 +34,7 @@
 	evUnacked        = event.Declare(507, zerolog.WarnLevel, "node did not acknowledge an update in time; its session is closed")
 	evSendError      = event.Declare(508, zerolog.WarnLevel, "failed to queue an update; the session is closed")
 	evReleased       = event.Declare(509, zerolog.InfoLevel, "version released to nodes")
+	evNotRecorded    = event.Declare(511, zerolog.WarnLevel, "closure of an upstream not recorded in time")
 	evIsolated       = event.Declare(510, zerolog.InfoLevel, "isolation from the quorum changed")
 )
 
@@ -92,6 +93,7 @@
 	catalog       api.Catalog
 	discovery     Discovery
 	capacity      Capacity
+	closures      api.Closures
 	trace         *trace.Trace
 	resumeLimiter *rate.Limiter
 	startedAt     time.Time
@@ -133,7 +135,7 @@
 	d := &Distribution{
 		c: c, s: s, peer: kernel.MustFind[*peer.Peer](c, "peer"), log: kernel.MustFind[api.Log](c, "quorum"),
 		catalog: kernel.MustFind[api.Catalog](c, "catalog"), discovery: kernel.MustFind[Discovery](c, "discovery"),
-		capacity: kernel.MustFind[Capacity](c, "capacity"), trace: trace.Find(c), startedAt: c.Clock.Now(), resumeLimiter: rate.NewLimiter(rate.Limit(s.ResumeRate), s.ResumeBurst),
+		capacity: kernel.MustFind[Capacity](c, "capacity"), closures: kernel.MustFind[api.Closures](c, "closures"), trace: trace.Find(c), startedAt: c.Clock.Now(), resumeLimiter: rate.NewLimiter(rate.Limit(s.ResumeRate), s.ResumeBurst),
 		mu: rank.NewMutex(rank.Distribution), sessions: map[uint64]*nodeSession{}, byNode: map[string]*nodeSession{},
 		index: newClusterIndex(), sets: map[string]*setHistory{}, dirtyServices: map[string]bool{},
 		deltas: map[deltaKey]*resource.Delta{}, encodedUpdates: map[string]*encodedUpdate{},
@@ -149,6 +151,8 @@
 	d.peer.Handle(peerapi.NodePing, d.onPing)
 	d.peer.Handle(peerapi.NodeAnnounce, d.onAnnounce)
 	d.peer.Handle(peerapi.NodeKnown, d.onKnown)
+	d.peer.Handle(peerapi.NodeClose, d.onClosing)
+	d.closures.Watch(d.sendClosures)
 	d.peer.Handle(peerapi.DistributionStatus, d.onStatus)
 	d.peer.OnClose(d.onClose)
 	d.catalog.Watch(func(resource.Version) { d.release(d.catalog.Version()) })
--- a/plugin/quorum/apply.go
+++ b/plugin/quorum/apply.go
@@ -49,7 +49,7 @@
 	for i := range entries {
 		if e := &entries[i]; e.Kind == replog.KindData {
 			bytes += len(e.Data)
-			results[i] = q.stateMachine.Apply(e.Index, payload(e.Data))
+			results[i] = q.machines.Apply(e.Index, payload(e.Data))
 		}
 	}
 	q.mu.Lock()
@@ -73,7 +73,7 @@
 // false if the state machine failed.
 func (q *Quorum) restoreSnapshot(s *replog.Snapshot) bool {
 	if len(s.Data) > 0 {
-		if err := q.stateMachine.Restore(s.Data); err != nil {
+		if err := q.machines.Restore(s.Data); err != nil {
 			q.c.Fail(errors.Wrapf(err, "restore snapshot at index %d", s.Index))
 			return false // applying stays set
 		}
@@ -100,7 +100,7 @@
 // takeSnapshot takes a snapshot of the state after the last applied entry, whose index is
 // given, and queues it for the disk job. It returns false if the state machine failed.
 func (q *Quorum) takeSnapshot(index uint64) bool {
-	data, err := q.stateMachine.Snapshot()
+	data, err := q.machines.Snapshot()
 	if err != nil {
 		q.c.Fail(errors.Wrapf(err, "snapshot at index %d", index))
 		return false
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -16,6 +16,7 @@
 	"github.com/celeryyard/celeryyard/core/replog"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/rpc"
+	"github.com/celeryyard/celeryyard/core/statemachine"
 	"github.com/celeryyard/celeryyard/kernel"
 	"github.com/celeryyard/celeryyard/kernel/event"
 	"github.com/celeryyard/celeryyard/kernel/rank"
@@ -78,11 +79,11 @@
 	takeRecovered func() journal.State
 	peer          *peer.Peer
 	// isDurable is set if the journal is on a disk.
-	isDurable    bool
-	stateMachine api.StateMachine
-	memberID     replog.MemberID
-	startTime    time.Time // epoch of raft.Instant on this instance
-	metrics      counters
+	isDurable bool
+	machines  statemachine.Set
+	memberID  replog.MemberID
+	startTime time.Time // epoch of raft.Instant on this instance
+	metrics   counters
 
 	// mu guards the fields below. While mu is held, no function of another package that
 	// blocks or takes a lock is called, except to queue jobs on the worker pool.
@@ -138,12 +139,13 @@
 	j := kernel.MustFind[*journal.Journal](c, "journal")
 	q := &Quorum{
 		c: c, s: c.Settings.(*Settings), mu: rank.NewMutex(rank.Quorum), journal: j, isDurable: j.IsDurable(), takeRecovered: j.TakeRecoveredState, peer: kernel.MustFind[*peer.Peer](c, "peer"),
-		memberNames: map[replog.MemberID]string{}, stateMachine: noopStateMachine{},
-		sending: map[replog.MemberID]bool{}, links: map[string]*peer.Link{}, zones: map[string]string{c.Instance.Name: c.Instance.AvailabilityZone},
+		memberNames: map[replog.MemberID]string{},
+		sending:     map[replog.MemberID]bool{}, links: map[string]*peer.Link{}, zones: map[string]string{c.Instance.Name: c.Instance.AvailabilityZone},
 	}
 	if q.isInitialVoter() && !j.IsDurable() {
 		return nil, errors.Newf("instance %q is listed as a voter but has no data folder", c.Instance.Name)
 	}
+	q.machines.SetMain(noopStateMachine{})
 	q.proposals.init(randomID())
 	q.barriers.groups = map[uint64]*readGroup{}
 	q.metrics = counters{
@@ -174,7 +176,15 @@
 }
 
 // SetStateMachine implements api.Log.
-func (q *Quorum) SetStateMachine(sm api.StateMachine) { q.stateMachine = sm }
+func (q *Quorum) SetStateMachine(sm api.StateMachine) { q.machines.SetMain(sm) }
+
+// AddStateMachine implements api.Log.
+func (q *Quorum) AddStateMachine(name string, sm api.StateMachine) api.ProposeFunc {
+	q.machines.Add(name, sm)
+	return func(data []byte, timeout time.Duration, done func(any, error)) {
+		q.proposeTo(name, data, timeout, done)
+	}
+}
 
 // Start implements kernel.Plugin: it restores the state machine from the journal
 // and connects to the other instances.
@@ -216,7 +226,7 @@
 // recover restores the state machine and the raft core from the journal.
 func (q *Quorum) recover(r journal.State) error {
 	if len(r.Snapshot.Data) > 0 {
-		if err := q.stateMachine.Restore(r.Snapshot.Data); err != nil {
+		if err := q.machines.Restore(r.Snapshot.Data); err != nil {
 			return errors.Wrap(err, "restore snapshot")
 		}
 	}
--- a/plugin/quorum/propose.go
+++ b/plugin/quorum/propose.go
@@ -11,6 +11,7 @@
 
 	"github.com/celeryyard/celeryyard/core/replog"
 	"github.com/celeryyard/celeryyard/core/rpc"
+	"github.com/celeryyard/celeryyard/core/statemachine"
 	"github.com/celeryyard/celeryyard/core/verdict"
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
@@ -212,6 +213,12 @@
 
 // Propose implements api.Log.
 func (q *Quorum) Propose(data []byte, timeout time.Duration, done func(result any, err error)) {
+	q.proposeTo("", data, timeout, done)
+}
+
+// proposeTo is Propose for the state machine with the given name; "" is the main one.
+func (q *Quorum) proposeTo(machine string, data []byte, timeout time.Duration, done func(result any, err error)) {
+	data = statemachine.Entry(machine, data)
 	q.metrics.proposals.Inc()
 	if len(data) > maxProposalBytes {
 		done(nil, verdict.Wrap(verdict.NotRun, errors.Newf("proposal of %d bytes exceeds %d", len(data), maxProposalBytes)))
--- a/plugin/session/plugin.go
+++ b/plugin/session/plugin.go
@@ -59,6 +59,7 @@
 	incarnation    uint64
 	ctx            context.Context
 	onAttach       []func(known *resource.Announcement)
+	onClosures     func(closures []resource.Closure)
 	loadReport     func() *peerapi.LoadReport
 	calledServices func() []string
 	onLoads        func([]peerapi.ServiceLoads)
@@ -101,6 +102,7 @@
 	s := &Session{
 		c: c, s: c.Settings.(*Settings), peer: kernel.MustFind[*peer.Peer](c, "peer"), view: kernel.MustFind[api.View](c, "view"),
 		trace: trace.Find(c), incarnation: uint64(c.Clock.Now().UnixMilli()), mu: rank.NewMutex(rank.Session),
+		onClosures:  func([]resource.Closure) {},
 		pauses:      pauseWatch{maxGap: c.Settings.(*Settings).PingInterval.AsDuration() + maxDelay},
 		attachments: c.Metrics.NewCounter("celeryyard_session_attachments_total"),
 	}
@@ -117,6 +119,7 @@
 		return -1
 	})
 	s.peer.Handle(peerapi.NodeUpdate, s.onUpdate)
+	s.peer.Handle(peerapi.NodeClosures, s.receiveClosures)
 	s.peer.OnInstanceUpdate(func(peer.Member) { s.updateInstances() })
 	s.peer.OnClose(s.onClose)
 	if a, ok := kernel.Find[*admin.Admin](c, "admin"); ok {
@@ -138,6 +141,10 @@
 // before Start.
 func (s *Session) OnAttach(f func(known *resource.Announcement)) { s.onAttach = append(s.onAttach, f) }
 
+// OnClosures sets the function that is called in a job with the closures of upstreams of this node in the replicated log: when
+// a session has started, before the functions of OnAttach, and when they have changed. It must be called before Start.
+func (s *Session) OnClosures(f func(closures []resource.Closure)) { s.onClosures = f }
+
 // SetLoadReporter sets the function that returns the load report of the upstream for each ping. The
 // function returns nil if there is no report. SetLoadReporter must be called before Start.
 func (s *Session) SetLoadReporter(f func() *peerapi.LoadReport) { s.loadReport = f }
@@ -286,6 +293,7 @@
 	s.attachments.Inc()
 	s.c.Log.Log(evAttached).Str("process", c.Peer).Str("waiting", r.WaitingReason).Send()
 	s.recordIsolation(c, r.Isolated)
+	s.onClosures(r.Closures)
 	for _, f := range s.onAttach {
 		f(r.Known)
 	}
@@ -300,6 +308,20 @@
 	}
 }
 
+// receiveClosures submits a job that passes received closures on, or closes the connection if the job cannot be queued: the
+// next hello brings them.
+func (s *Session) receiveClosures(c *rpc.Conn, r *rpc.Request) {
+	m := &peerapi.Closures{}
+	if err := r.Decode(m); err != nil {
+		s.c.Log.Log(evInvalid).Str("process", c.Peer).Err(err).Send()
+		c.Close()
+		return
+	}
+	if s.c.TryGo(stateKey, func() { s.onClosures(m.Closures) }) != nil {
+		c.Close()
+	}
+}
+
 // onUpdate submits a job that applies a received update, or closes the connection if the job cannot
 // be queued.
 func (s *Session) onUpdate(c *rpc.Conn, r *rpc.Request) {
--- a/role/control/control.go
+++ b/role/control/control.go
@@ -5,6 +5,7 @@
 	_ "github.com/celeryyard/celeryyard/plugin/admin"        // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/capacity"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/catalog"      // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/closures"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/discovery"    // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/distribution" // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/journal"      // registers itself
@@ -16,5 +17,5 @@
 
 // Plugins lists the plug-ins of a control instance.
 func Plugins() []string {
-	return []string{"admin", "trace", "peer", "journal", "quorum", "catalog", "operator", "discovery", "capacity", "distribution"}
+	return []string{"admin", "trace", "peer", "journal", "quorum", "catalog", "closures", "operator", "discovery", "capacity", "distribution"}
 }
