httphead: a response with an invalid status is no answer

On other systems a response with the status 000 reached clients as an answer. Here it was taken for an interim response: its body was read as the next head, and where that body is a response, the caller got it as a success of the endpoint. The same held for 001 to 099, signed numbers and interim responses that state a body; 600 to 999 reached the caller; a probe took 000 for healthy.

Cause: http.ReadResponse accepts any number of three characters, and everything below 200 was taken as interim.

Change: ReadResponse refuses a status outside 100 to 599 and an interim response that states a body, so the call fails as one that may have run and its connection is closed.

--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -45,6 +46,9 @@
 var (
 	ErrTooLarge  = errors.New("response head is too large")
 	errTruncated = errors.New("response head is truncated")
+	// errInterimBody means that an interim response states a body. It can have none, so what follows its head could be read
+	// as the head of the next response.
+	errInterimBody = errors.New("interim response states a body")
 )
 
 // Reader reads HTTP responses from a connection. Bodies are read through the embedded
@@ -63,7 +67,8 @@
 
 // ReadResponse reads the head of the next response, which may be an interim (1xx)
 // response. Its memory is limited whatever the peer sends. It blocks until the head is
-// complete, exceeds its limits, or the connection ends.
+// complete, exceeds its limits, or the connection ends. A head with a status outside 100 to 599
+// (RFC 9110, section 15), or an interim one that states a body, is an error.
 func (h *Reader) ReadResponse(req *http.Request) (*http.Response, error) {
 	buffered, err := h.Peek(h.Buffered())
 	if err != nil {
@@ -83,7 +88,32 @@
 	case !complete:
 		return nil, errTruncated
 	}
-	return resp, nil
+	return resp, checkStatus(resp)
+}
+
+// checkStatus returns an error if the response has an invalid status, or is an interim one that states a body.
+func checkStatus(resp *http.Response) error {
+	code := resp.Status
+	if i := strings.IndexByte(code, ' '); i >= 0 {
+		code = code[:i]
+	}
+	if resp.StatusCode < 100 || resp.StatusCode > 599 || len(code) != 3 || code[0] < '1' || code[0] > '5' {
+		return errors.Newf("status %.12q of a response is not in the range 100 to 599", code)
+	}
+	if resp.StatusCode < 200 && (len(resp.TransferEncoding) > 0 || resp.Header.Get("Transfer-Encoding") != "" || statesLength(resp.Header)) {
+		return errInterimBody
+	}
+	return nil
+}
+
+// statesLength reports whether the header has a length other than 0.
+func statesLength(h http.Header) bool {
+	for _, v := range h["Content-Length"] {
+		if strings.Trim(v, " \t0") != "" {
+			return true
+		}
+	}
+	return false
 }
 
 // headScanner counts the bytes and lines of a head while the parser reads them. A read that
--- a/plugin/announce/probe.go
+++ b/plugin/announce/probe.go
@@ -60,7 +60,7 @@
 	defer resp.Body.Close()
 	defer time.AfterFunc(probeBodyTimeout, cancel).Stop()
 	_, _ = io.CopyN(io.Discard, resp.Body, maxProbeBodyBytes)
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusBadRequest {
 		return probeNegative
 	}
 	return probeOK
--- a/plugin/announce/probe_test.go
+++ b/plugin/announce/probe_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against probes that read a head of megabytes, and against a result that waits for a body
-// that never arrives: only the head determines the result.
+// that never arrives: only the head determines the result. Guards also against a status that is none (000) and counts as healthy.
 func TestProbeResultDependsOnBoundedHead(t *testing.T) {
 	const timeout = 2 * time.Second
 	for name, tc := range map[string]struct {
@@ -23,6 +23,9 @@
 		"failing":       {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 10\r\n\r\n", probeNegative},
 		"body missing":  {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", probeOK},
 		"chunk missing": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", probeOK},
+		"status 000":    {"HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n", probeNegative},
+		"status 099":    {"HTTP/1.1 099 Trouble\r\nContent-Length: 0\r\n\r\n", probeNegative},
+		"status 999":    {"HTTP/1.1 999 Trouble\r\nContent-Length: 0\r\n\r\n", probeNegative},
 		"large head":    {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: " + strings.Repeat("x", 1<<20) + "\r\n\r\n", probeRefused},
 	} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
