announce, heartbeat: heartbeats of other writers undo no drain

With a later start, the live endpoint got no request any more.

Cause: such a report was ignored only if its ID was another one. Else its sequence number counted, the endpoint's own reports were out of date, and outdated reports are acknowledged.

A start that has drained stays closed whatever sequence numbers follow, and a drain counts whatever number was heard before. Closures are kept by upstream ID, so that the drain of another ID takes the place of none.

--- a/core/resource/closure.go
+++ b/core/resource/closure.go
@@ -16,24 +16,23 @@
 
 // Closure states that a start of an upstream takes no new calls. The zero value closes nothing.
 //
-// A closure outlives the process that was told of it: a report that was sent before the closure may
-// arrive seconds later, and must not make the upstream available again.
+// A closure outlives the process that was told of it, and holds for the rest of the start: a report that was sent before it may
+// arrive seconds later, and one with a higher sequence number may come from another writer. Neither must make the upstream
+// available again.
 type Closure struct {
 	Start UpstreamStart `json:"s,omitzero"`
-	// Final is set once the upstream has left. Otherwise a report with a higher sequence number than
-	// Start.Sequence ends the closure.
+	// Final is set once the upstream has left.
 	Final bool `json:"f,omitzero"`
 }
 
-// Covers reports whether the upstream stated the closure in the report u, or after sending it.
+// Covers reports whether u is a report of the start that the closure closes, or of an earlier one.
 func (c Closure) Covers(u UpstreamStart) bool {
-	switch {
-	case c.Start.ID == "" || c.Start.ID != u.ID || u.StartedAtMillis > c.Start.StartedAtMillis:
-		return false
-	case u.StartedAtMillis < c.Start.StartedAtMillis:
-		return true
-	}
-	return c.Final || u.Sequence <= c.Start.Sequence
+	return c.Start.ID != "" && c.Start.ID == u.ID && u.StartedAtMillis <= c.Start.StartedAtMillis
+}
+
+// Includes reports whether c closes all that o closes, as finally.
+func (c Closure) Includes(o Closure) bool {
+	return c.Covers(o.Start) && (c.Final || !o.Final || c.Start.StartedAtMillis > o.Start.StartedAtMillis)
 }
 
 // State returns the state of an upstream that the closure covers.
--- a/plugin/announce/report.go
+++ b/plugin/announce/report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/celeryyard/celeryyard/core/resource"
 )
 
@@ -41,18 +43,14 @@
 	lastReceivedAt time.Time
 	// upstreamClosed is set when the upstream accepts no new calls.
 	upstreamClosed bool
-	// closed is the closure that an upstream has stated last. Late reports that it covers are not
-	// accepted.
+	// closed is the closure that the upstream has stated last, or one of a later start that another one has. It is announced.
 	closed resource.Closure
+	// stated holds the closures that this process was told of. Reports that they cover are not accepted.
+	stated closureList
 	// known is the latest report before a restart of the node, as far as the control instances know it.
 	known resource.UpstreamStart
-	// recorded holds the closures of upstreams of this node that are known to be in the replicated log, at most one for each
-	// upstream ID.
-	recorded []resource.Closure
-	// ownRecord is the closure of a drain that this process has had recorded last. readySequence is that of the last accepted
-	// report of the current start that has neither Draining nor Gone set.
-	ownRecord     resource.Closure
-	readySequence uint64
+	// recorded holds the closures that are known to be in the replicated log. Reports that they cover are not accepted.
+	recorded closureList
 	// displaced is the last report of a live upstream whose address another one has claimed since; it has no
 	// ID if there is none.
 	displaced Report
@@ -96,12 +94,14 @@
 		if h.latestReport.ID != "" && r.ID != h.latestReport.ID {
 			return false // an earlier upstream, which the current one has replaced
 		}
-		h.upstreamClosed, h.closed, h.lastReceivedAt = true, resource.Closure{Start: h.endedStart(r, now), Final: true}, now
+		h.upstreamClosed, h.closed, h.lastReceivedAt = true, h.statedClosure(r, now), now
+		h.stated = h.stated.add(h.closed)
 		return true
 	}
 	contests := h.contests(r)
 	if r.Draining {
-		h.closed = h.closed.Join(resource.Closure{Start: r.start()})
+		c := h.statedClosure(r, now)
+		h.closed, h.stated = h.closed.Join(c), h.stated.add(c)
 	}
 	if contests && (r.Draining || h.isDisproved(r)) {
 		return false // an upstream that leaves claims no address
@@ -112,9 +112,6 @@
 	case r.ID != h.latestReport.ID:
 		h.displaced = Report{}
 	}
-	if !r.Draining {
-		h.readySequence = r.Sequence
-	}
 	h.upstreamClosed = r.Draining
 	h.latestReport, h.lastReceivedAt = r, now
 	return true
@@ -147,20 +144,37 @@
 }
 
 // isOutdated reports whether r was sent before the latest report, or belongs to a start of the
-// upstream that has already ended.
+// upstream that has already closed. A drain is never out of date, whatever its sequence number: a later report of the
+// same start may come from another writer.
 func (h *heartbeats) isOutdated(r Report) bool {
 	latest := &h.latestReport
 	switch {
 	case r.Gone && r.Sequence == 0 && r.StartedAtMillis == 0:
 		return false // a Gone report without start time and sequence number cannot be ordered
-	case !r.Gone && (h.closed.Covers(r.start()) || h.isRecorded(r.start())):
+	case !r.Gone && (h.closed.Covers(r.start()) || h.stated.covers(r.start()) || h.recorded.covers(r.start())):
 		return true
 	case r.StartedAtMillis != 0 && latest.StartedAtMillis != 0 && r.StartedAtMillis != latest.StartedAtMillis:
 		return r.StartedAtMillis < latest.StartedAtMillis
 	case r.ID != latest.ID:
 		return false
 	}
-	return !r.Gone && r.Sequence <= latest.Sequence
+	return !r.Gone && !r.Draining && r.Sequence <= latest.Sequence
+}
+
+// check returns an error if r cannot be a report of the upstream beside the node: a start belongs to one service, and a report
+// for a service that does not exist, as unknownService states, names no upstream to use while another one is known.
+func (h *heartbeats) check(r Report, unknownService bool) error {
+	latest := &h.latestReport
+	if r.Gone || latest.ID == "" || r.Service == latest.Service {
+		return nil
+	}
+	if r.ID == latest.ID && r.StartedAtMillis == latest.StartedAtMillis {
+		return errors.Newf("upstream %.40q belongs to the service %.40q, not %.40q", r.ID, latest.Service, r.Service)
+	}
+	if unknownService && (h.contests(r) || r.ID == latest.ID) {
+		return errors.Newf("service %.40q does not exist", r.Service)
+	}
+	return nil
 }
 
 // isSilent reports whether an upstream that accepts calls has sent no heartbeat for longer than
@@ -208,17 +222,20 @@
 
 // HandleReport processes a heartbeat of the upstream beside the node. After HandleReport returns, an
 // upstream that reported Draining or Gone gets no new calls. If the report is outdated, HandleReport
-// changes nothing and returns false. The same holds for one that claims the address of a live upstream for a
-// service that does not exist.
-func (a *Announce) HandleReport(r Report) bool {
+// changes nothing. It returns an error, and changes nothing, if the report cannot be one of that upstream.
+func (a *Announce) HandleReport(r Report) error {
 	now := a.c.Clock.Now()
 	unknownService := !r.Gone && a.isUnknownService(r.Service)
 	a.mu.Lock()
+	if latest := a.heartbeats.latestReport.Service; !r.Gone && !unknownService && r.Service != latest && a.isUnknownService(latest) {
+		a.heartbeats.latestReport = Report{} // accepted before the configuration was known
+	}
 	before := a.heartbeats
-	if unknownService && a.heartbeats.contests(r) || !a.heartbeats.accept(r, now) {
+	err := a.heartbeats.check(r, unknownService)
+	if err != nil || !a.heartbeats.accept(r, now) {
 		a.mu.Unlock()
-		a.c.Log.Log(evLateReport).Str("upstream", r.ID).Str("service", r.Service).Uint("sequence", r.Sequence).Str("known_upstream", before.latestReport.ID).Send()
-		return false
+		a.c.Log.Log(evLateReport).Str("upstream", r.ID).Str("service", r.Service).Uint("sequence", r.Sequence).Str("known_upstream", before.latestReport.ID).Err(err).Send()
+		return err
 	}
 	previous, generation := a.upstream, a.generation
 	if r.ID != before.latestReport.ID || r.StartedAtMillis != before.latestReport.StartedAtMillis {
@@ -259,7 +276,7 @@
 	if announce {
 		a.announce()
 	}
-	return true
+	return nil
 }
 
 // defaultSlowStart is the slow start of the clusters of a whole configuration, which cannot set a
--- a/plugin/announce/restore.go
+++ b/plugin/announce/restore.go
@@ -90,40 +90,45 @@
 	return resource.StateDraining
 }
 
-// isRecorded reports whether the replicated log has a closure that covers the report.
-func (h *heartbeats) isRecorded(u resource.UpstreamStart) bool {
-	return slices.ContainsFunc(h.recorded, func(c resource.Closure) bool { return c.Covers(u) })
+// closureList holds closures of upstreams of this node, at most one for each upstream ID.
+type closureList []resource.Closure
+
+// maxClosures bounds a closureList. It is exceeded only by reports of other writers.
+const maxClosures = 8
+
+// covers reports whether a closure of the list covers the report.
+func (l closureList) covers(u resource.UpstreamStart) bool {
+	return slices.ContainsFunc(l, func(c resource.Closure) bool { return c.Covers(u) })
 }
 
-// needsRecord reports whether the replicated log may lack what the closure states. A drain that is reported again needs no new
-// record unless the upstream was ready in between: the one that is recorded covers all its earlier reports.
-func (h *heartbeats) needsRecord(c resource.Closure) bool {
-	isSameStart := func(o resource.Closure) bool {
-		return o.Start.ID == c.Start.ID && o.Start.StartedAtMillis == c.Start.StartedAtMillis
-	}
-	if !c.Final && isSameStart(h.ownRecord) && h.readySequence <= h.ownRecord.Start.Sequence {
-		return false
+// add returns a new list in which c is joined with the closure of the same upstream ID. The closure that was added first goes
+// if the list is full.
+func (l closureList) add(c resource.Closure) closureList {
+	out := make(closureList, 0, len(l)+1)
+	for _, o := range l {
+		if o.Start.ID == c.Start.ID {
+			c = c.Join(o)
+		} else {
+			out = append(out, o)
+		}
 	}
-	return !slices.ContainsFunc(h.recorded, func(o resource.Closure) bool { return isSameStart(o) && o.Join(c) == o })
+	out = append(out, c)
+	return out[max(0, len(out)-maxClosures):]
 }
 
-// maxRecorded bounds heartbeats.recorded. It is exceeded only by reports of other writers.
-const maxRecorded = 8
+// needsRecord reports whether the replicated log may lack what the closure states. A drain that is reported again needs no new
+// record.
+func (h *heartbeats) needsRecord(c resource.Closure) bool {
+	return !slices.ContainsFunc(h.recorded, func(o resource.Closure) bool { return o.Includes(c) })
+}
 
 // addRecorded joins closures of the replicated log with those that are known. It reports whether the upstream has closed
 // according to that, which was not known before.
 func (h *heartbeats) addRecorded(closures []resource.Closure) (closed bool) {
 	for _, c := range closures {
-		if i := slices.IndexFunc(h.recorded, func(o resource.Closure) bool { return o.Start.ID == c.Start.ID }); i >= 0 {
-			c = c.Join(h.recorded[i])
-			h.recorded = slices.Delete(h.recorded, i, i+1)
-		}
-		h.recorded = append(h.recorded, c)
-	}
-	if n := len(h.recorded) - maxRecorded; n > 0 {
-		h.recorded = slices.Delete(h.recorded, 0, n)
+		h.recorded = h.recorded.add(c)
 	}
-	closed = !h.upstreamClosed && h.latestReport.ID != "" && h.isRecorded(h.latestReport.start())
+	closed = !h.upstreamClosed && h.latestReport.ID != "" && h.recorded.covers(h.latestReport.start())
 	h.upstreamClosed = h.upstreamClosed || closed
 	return closed
 }
@@ -155,16 +160,6 @@
 	}
 }
 
-// handleRecorded notes that this process has had a closure recorded.
-func (a *Announce) handleRecorded(c resource.Closure) {
-	a.handleClosures([]resource.Closure{c})
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !c.Final {
-		a.heartbeats.ownRecord = c
-	}
-}
-
 // record asks the control instance to record a closure in the replicated log, until that is done or ctx ends.
 func (a *Announce) record(ctx context.Context, c resource.Closure) error {
 	for {
@@ -173,7 +168,7 @@
 		select {
 		case err := <-recorded:
 			if err == nil {
-				a.handleRecorded(c)
+				a.handleClosures([]resource.Closure{c})
 				return nil
 			}
 		case <-ctx.Done():
--- a/plugin/closures/state.go
+++ b/plugin/closures/state.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	i := n.find(e.Closure.Start.ID)
-	return i >= 0 && n.List[i].Join(e.Closure) == n.List[i]
+	return i >= 0 && n.List[i].Includes(e.Closure)
 }
 
 // apply joins a closure with the one of the same upstream ID. It reports whether it has changed anything.
