resource: prefixes are matched in the form of request paths

Cause: the path of a request is compared with its escapes decoded, the prefix of a route was compared as written.

An order with a route that no request can reach, with two prefixes for the same paths, or with a negative priority is refused with its field before it is proposed, so that instances of all versions decide alike.

--- a/core/httpcall/headers.go
+++ b/core/httpcall/headers.go
@@ -120,8 +120,8 @@
 	b = append(append(b, ';'), url.PathEscape(c.ID)...)
 	b = append(append(b, ';'), url.PathEscape(c.Caller)...)
 	b = strconv.AppendInt(append(b, ';'), int64(c.Priority), 10)
-	b = strconv.AppendInt(append(b, ';'), c.TargetLatency.Milliseconds(), 10)
-	b = strconv.AppendInt(append(b, ';'), c.RemainingWait.Milliseconds(), 10)
+	b = strconv.AppendInt(append(b, ';'), min(c.TargetLatency, maxTimeout).Milliseconds(), 10)
+	b = strconv.AppendInt(append(b, ';'), min(c.RemainingWait, maxTimeout).Milliseconds(), 10)
 	if c.Keyed {
 		b = append(append(b, ';'), url.PathEscape(c.BackupNode)...)
 		b = append(append(b, ';'), url.PathEscape(c.BackupAddress)...)
--- a/core/resource/configuration.go
+++ b/core/resource/configuration.go
@@ -153,6 +153,29 @@
 	return nil
 }
 
+// CheckReachable returns a FieldError for the first route that no request could reach: its prefix is not the path of a request,
+// or matches the same paths as that of another route. Orders are checked before they are proposed; the state machine
+// does not check this, so that instances of all versions decide alike.
+func (c *Configuration) CheckReachable() error {
+	matches := make(map[string]bool, len(c.Routes))
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		prefix, err := RoutingPrefix(r.PathPrefix)
+		if err != nil {
+			return fieldErrorf(fmt.Sprintf("routes/%d/path_prefix", i), "%v", err)
+		}
+		key := strings.ToLower(r.Host) + prefix
+		if matches[key] {
+			return duplicateMatchError(fmt.Sprintf("routes/%d", i), r)
+		}
+		matches[key] = true
+		if r.Priority < 0 {
+			return fieldErrorf(fmt.Sprintf("routes/%d/priority", i), "%d is negative", r.Priority)
+		}
+	}
+	return nil
+}
+
 // duplicateMatchError returns the error for a route that has the same host and path prefix as another
 // route.
 func duplicateMatchError(field string, r *ConfiguredRoute) error {
--- a/core/resource/snapshot_test.go
+++ b/core/resource/snapshot_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/url"
 	"reflect"
+	"strings"
 	"testing"
 )
 
@@ -41,7 +43,7 @@
 			}
 		}
 		held := s.Table.byHost["h1"]
-		before := append([]*Route{}, held...)
+		before := append([]tableRoute{}, held...)
 		next, err := s.Apply(Update{Delta: d})
 		if err != nil {
 			t.Fatal(err)
@@ -97,3 +99,64 @@
 		}
 	}
 }
+
+// Guards against a route that is accepted and serves no request, because its prefix or host is compared in another form than
+// the path and the host of requests. The paths are those that begin with the prefix as it is written.
+func TestEveryReachableRouteServesRequests(t *testing.T) {
+	rng := rand.New(rand.NewPCG(49, 1))
+	pieces := []string{"a", "B", "/", "//", ".", "..", "%20", "%C5%BE", "%c5%be", "%2F", "%2f", "%61", "%00", "%25", "%3F", "%zz", "%", "?", "#", ";", "+", "~", "é", "\x7f", " ", "%e2%82"}
+	hosts := []string{"h.example", "H.example", "h.example:8080", "10.0.0.1"}
+	served, refused := 0, 0
+	for range 6000 {
+		c := &Configuration{Number: 1, Services: []ConfiguredService{{Name: "s"}}}
+		for i := range 1 + rng.IntN(4) {
+			prefix := "/"
+			for range rng.IntN(5) {
+				prefix += pieces[rng.IntN(len(pieces))]
+			}
+			c.Routes = append(c.Routes, ConfiguredRoute{Name: fmt.Sprint(i), Host: hosts[rng.IntN(len(hosts))], PathPrefix: strings.TrimSuffix(prefix, "/") + "/", TimeoutMillis: 1, Service: "s"})
+		}
+		if c.Validate() != nil || c.CheckReachable() != nil {
+			refused++
+			continue
+		}
+		routes := map[string]*Route{}
+		for _, r := range c.Expand().Routes {
+			routes[r.Name] = r
+		}
+		table := NewRouteTable(routes)
+		for i := range c.Routes {
+			r := &c.Routes[i]
+			u, err := url.ParseRequestURI(r.PathPrefix)
+			if err != nil {
+				t.Fatalf("prefix %q is accepted: %v", r.PathPrefix, err)
+			}
+			if got := table.Find("GET", r.Host, RoutingPath(u)); got == nil || got.Name != r.Key().Name {
+				t.Fatalf("request for %q %q is served by %+v", r.Host, r.PathPrefix, got)
+			}
+			served++
+		}
+	}
+	t.Logf("%d routes serve a request, %d configurations were refused", served, refused)
+	if served < 3000 {
+		t.Errorf("only %d routes were accepted", served)
+	}
+}
+
+// Guards against orders that are accepted although a route can never serve a request, and against ones that are refused without
+// the field.
+func TestUnreachableRoutesAreRefused(t *testing.T) {
+	for name, r := range map[string]ConfiguredRoute{
+		"query": {PathPrefix: "/a?b/"}, "fragment": {PathPrefix: "/a#b/"}, "broken escape": {PathPrefix: "/a%zz/"}, "negative priority": {PathPrefix: "/a/", Priority: -1},
+		"same paths": {PathPrefix: "/%6B/"},
+	} {
+		r.Host, r.TimeoutMillis, r.Service = "h", 1, "s"
+		c := &Configuration{Number: 1, Services: []ConfiguredService{{Name: "s"}}, Routes: []ConfiguredRoute{{Host: "h", PathPrefix: "/k/", TimeoutMillis: 1, Service: "s"}, r}}
+		if err := c.Validate(); err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if err := c.CheckReachable(); err == nil || !strings.Contains(err.Error(), "routes/1") {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
