httpserve: a request behind a cut response is answered

Cause: answers above buffer_bytes are passed on while they arrive. A cut then ends the connection, and with it the requests behind, which had been started meanwhile.

Change: a response is passed on before its end only while no later request of the connection has been started, and none is started then until it has ended. Otherwise it is held until it is whole, 4 MiB each and 32 MiB in all; if it is cut, its caller gets 502 and the connection goes on.

--- a/core/httpserve/conn.go
+++ b/core/httpserve/conn.go
@@ -222,6 +222,21 @@
 	return true
 }
 
+// startStreaming reports whether r, whose turn it is, may be sent before its end: no later request has been started. None is started
+// then before r is complete.
+func (c *conn) startStreaming(r *response) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unanswered > 1 {
+		return false
+	}
+	if !r.exclusive {
+		r.exclusive = true
+		c.exclusive++
+	}
+	return true
+}
+
 // awaitBody waits until the body of a request was read, because the next request follows it, and
 // reports whether one may be read. If the client leaves meanwhile, the request is cancelled: its handler may
 // wait for an upstream that does not read the body.
@@ -338,6 +353,7 @@
 			r.c.s.OnPanic(v, debug.Stack())
 		}
 		r.cancel()
+		r.unspool()
 		if !ok {
 			// Aborting the connection earlier would cut the responses before this one.
 			select {
--- a/core/httpserve/response.go
+++ b/core/httpserve/response.go
@@ -42,6 +42,10 @@
 	// length is the Content-Length of the response; -1 if it is unknown. written counts its body.
 	length, written int64
 	hijacked        bool
+	// streaming is set once a part of the response may be sent before the handler returns, and sent once any of it was.
+	// spooled is the part of Server.spooled that this response accounts for.
+	streaming, sent bool
+	spooled         int64
 }
 
 // outBuffers hold encoded responses.
@@ -112,13 +116,57 @@
 	r.encodeHead()
 	r.appendBody(p)
 	if len(r.out) > flushBytes && r.isTurn() || len(r.out) > maxHeldBytes {
-		if err := r.send(); err != nil {
+		if err := r.stream(); err != nil {
 			return 0, err
 		}
 	}
 	return len(p), nil
 }
 
+// stream sends what out holds, once it is the turn of the response, unless a later request of the connection has been started:
+// its response would be lost with the connection if this one were cut. The response is then held until the handler
+// returns, as long as the bounds of spooled responses permit. Once a response is streamed, no later request starts before its end.
+func (r *response) stream() error {
+	if err := r.awaitTurn(); err != nil {
+		return err
+	}
+	if !r.streaming && !r.c.startStreaming(r) && r.spool() {
+		return nil
+	}
+	r.streaming = true
+	return r.send()
+}
+
+// spool accounts for the held bytes and reports whether they may be held.
+func (r *response) spool() bool {
+	if len(r.out) > maxSpooledBytes {
+		return false
+	}
+	grown := int64(len(r.out)) - r.spooled
+	r.spooled += grown
+	return r.c.s.spooled.Add(grown) <= maxSpooledTotal
+}
+
+// unspool ends the accounting for held bytes.
+func (r *response) unspool() {
+	r.c.s.spooled.Add(-r.spooled)
+	r.spooled = 0
+}
+
+// TryReset discards what was written to w, a response of a Server, if nothing of it was sent. It reports whether it did; the
+// handler may then write another response.
+func TryReset(w http.ResponseWriter) bool {
+	r, ok := w.(*response)
+	if !ok || r.sent || r.hijacked {
+		return false
+	}
+	r.unspool()
+	clear(r.header)
+	r.status, r.wroteHeader, r.headDone, r.chunked, r.length, r.written = 0, false, false, false, -1, 0
+	r.out, r.closeAfter = r.out[:0], r.req.Close
+	return true
+}
+
 const (
 	// maxUnframed is the size of a body of unknown length up to which its end is awaited, so that a
 	// length can be sent in place of chunks.
@@ -201,14 +249,14 @@
 
 // send writes what out holds to the connection, once it is the turn of the response.
 func (r *response) send() error {
-	select {
-	case <-r.turn:
-	case <-r.c.ctx.Done():
-		return errConnClosed
+	if err := r.awaitTurn(); err != nil {
+		return err
 	}
+	r.unspool()
 	if len(r.out) == 0 {
 		return nil
 	}
+	r.sent = true
 	if !r.writeDeadline.IsZero() {
 		if err := r.c.nc.SetWriteDeadline(r.writeDeadline); err != nil {
 			return err
@@ -219,6 +267,16 @@
 	return err
 }
 
+// awaitTurn waits until the earlier responses of the connection are complete.
+func (r *response) awaitTurn() error {
+	select {
+	case <-r.turn:
+		return nil
+	case <-r.c.ctx.Done():
+		return errConnClosed
+	}
+}
+
 var errConnClosed = errors.New("connection was closed before the response was sent")
 
 // complete sends the rest of the response and reports whether all of it was sent.
@@ -256,7 +314,7 @@
 		return nil // complete sends the whole response
 	}
 	r.encodeHead()
-	return r.send()
+	return r.stream()
 }
 
 // SetWriteDeadline implements the method of http.ResponseController. Until the turn of the response
--- a/core/httpserve/server.go
+++ b/core/httpserve/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +25,10 @@
 	// maxHeldBytes is the size in bytes of a response that may be held while earlier responses of the
 	// connection are not complete. A handler that writes more waits for them.
 	maxHeldBytes = 256 << 10
+	// maxSpooledBytes is the size in bytes of a response that may be held while a later request of the connection is in
+	// progress, and maxSpooledTotal that of all such responses of a server.
+	maxSpooledBytes = 4 << 20
+	maxSpooledTotal = 32 << 20
 	// headSlackBytes is the number of bytes that the head of a request may exceed MaxHeaderBytes by,
 	// as in net/http.
 	headSlackBytes = 4 << 10
@@ -57,6 +62,9 @@
 	// OnPanic is called when the handler panics with anything but http.ErrAbortHandler; may be nil.
 	OnPanic func(v any, stack []byte)
 
+	// spooled is the size in bytes of the responses that are held for later requests of their connections.
+	spooled atomic.Int64
+
 	// mu guards the fields below. It is a leaf lock below all lock ranks.
 	mu       sync.Mutex
 	listener net.Listener
--- a/plugin/outbound/answer.go
+++ b/plugin/outbound/answer.go
@@ -7,11 +7,13 @@
 
 	"github.com/celeryyard/celeryyard/core/dialect"
 	"github.com/celeryyard/celeryyard/core/httpcall"
+	"github.com/celeryyard/celeryyard/core/httpserve"
 	"github.com/celeryyard/celeryyard/core/verdict"
 )
 
 // forward copies the response to the caller and finishes the exchange. It returns false if
-// reading the response failed midway; the caller's connection must then be aborted.
+// reading the response failed midway. The caller then gets an error response if nothing was sent to it yet; else its
+// connection must be aborted.
 func (c *call) forward(x *httpcall.Exchange) bool {
 	from, to := x.Response.Header, c.w.Header()
 	claim := from.Get(httpcall.HeaderClaim)
@@ -37,6 +39,10 @@
 	c.w.WriteHeader(x.Response.StatusCode)
 	readErr, writeErr := x.CopyBody(c.w, rc.Flush)
 	x.Finish(readErr == nil && writeErr == nil)
+	if readErr != nil && httpserve.TryReset(c.w) {
+		c.respondError(http.StatusBadGateway, verdict.MayHaveRun, "the response of the upstream was cut")
+		return false
+	}
 	if readErr != nil {
 		c.o.c.Log.Log(evResponseCut).Str("route", c.route.Name).Err(readErr).Send()
 	}
