discovery: an instance whose clock was set back is followed

Cause: the epoch of a control instance is its clock at the start. An instance that starts with an earlier clock than before was taken for its own past: the others ignored its records for as long as it ran, and used its endpoints last.

Change: the answer to a message of an earlier epoch names the known one; the sender raises its epoch above it and sends all records.

--- a/core/peerapi/peerapi.go
+++ b/core/peerapi/peerapi.go
@@ -224,6 +224,9 @@
 type RecordsReply struct {
 	// Resync requests all records of the sender, because earlier messages are missing.
 	Resync bool `json:"resync,omitzero"`
+	// KnownEpoch is the epoch that the receiver knows of the sender if it is above that of the message, which was then not
+	// followed. Epochs come from a clock; a sender that started with an earlier clock than before raises its epoch above it.
+	KnownEpoch uint64 `json:"epoch,omitzero"`
 }
 
 // Status answers DistributionStatus.
--- a/plugin/discovery/mesh.go
+++ b/plugin/discovery/mesh.go
@@ -180,8 +180,11 @@
 		return
 	}
 	t.awaitingReply = false
+	if r.KnownEpoch >= d.epoch {
+		d.raiseEpoch(r.KnownEpoch)
+	}
 	t.resync = t.resync || r.Resync || err != nil
-	if err == nil && !r.Resync {
+	if err == nil && !r.Resync && r.KnownEpoch == 0 {
 		t.ackedGen = max(t.ackedGen, gen)
 	}
 	d.mu.Unlock()
@@ -191,6 +194,16 @@
 	}
 }
 
+// raiseEpoch sets the epoch above one that another instance knows of an earlier start of this one, and sends all records in
+// it. The caller holds mu.
+func (d *Discovery) raiseEpoch(known uint64) {
+	d.epoch = known + 1
+	for _, t := range d.remotes {
+		t.resync = true
+	}
+	d.c.Log.Log(evEpoch).Uint("known", known).Send()
+}
+
 func (d *Discovery) onDelta(c *rpc.Conn, r *rpc.Request) {
 	m, ok := d.decodeRecords(c, r)
 	if !ok {
@@ -200,12 +213,13 @@
 	d.mu.Lock()
 	d.trace.Record("discovery", "delta", now, m.Instance, m)
 	complete := d.table.applyDelta(m, now)
+	known := d.table.newerEpoch(m.Instance, m.Epoch)
 	d.mu.Unlock()
 	if !complete {
 		d.resyncs.Inc()
 		d.c.Log.Log(evResync).Str("sender", m.Instance).Send()
 	}
-	d.propagate(r, m, &peerapi.RecordsReply{Resync: !complete})
+	d.propagate(r, m, &peerapi.RecordsReply{Resync: !complete, KnownEpoch: known})
 }
 
 func (d *Discovery) onSync(c *rpc.Conn, r *rpc.Request) {
@@ -217,8 +231,9 @@
 	d.mu.Lock()
 	d.trace.Record("discovery", "sync", now, m.Instance, m)
 	d.table.applySync(m, now)
+	known := d.table.newerEpoch(m.Instance, m.Epoch)
 	d.mu.Unlock()
-	d.propagate(r, m, &peerapi.RecordsReply{})
+	d.propagate(r, m, &peerapi.RecordsReply{KnownEpoch: known})
 }
 
 // propagate schedules a flush for the merged records of a message and replies to the sender. An empty
--- a/plugin/discovery/owner.go
+++ b/plugin/discovery/owner.go
@@ -78,6 +78,14 @@
 	return isCurrent && r.Owner == sender && !r.Lost && current.State() != resource.StateGone
 }
 
+// newerEpoch returns the epoch that is known of a control instance if it is above the given one, else 0.
+func (t *table) newerEpoch(name string, epoch uint64) uint64 {
+	if o := t.owners[name]; o != nil && o.epoch > epoch {
+		return o.epoch
+	}
+	return 0
+}
+
 // ensureOwner returns the state of a control instance. For an instance without one, it creates the
 // state of a silent instance.
 func (t *table) ensureOwner(name string) *owner {
--- a/plugin/discovery/plugin.go
+++ b/plugin/discovery/plugin.go
@@ -29,6 +29,7 @@
 	evInvalid       = event.Declare(553, zerolog.WarnLevel, "endpoint message refused")
 	evSettled       = event.Declare(554, zerolog.InfoLevel, "wait for the endpoint records of the other instances has ended")
 	evSkipped       = event.Declare(556, zerolog.WarnLevel, "endpoint records left out: no endpoint can have them")
+	evEpoch         = event.Declare(557, zerolog.WarnLevel, "other instances know a later start of this one; its clock was set back")
 	evSpreadTimeout = event.Declare(555, zerolog.WarnLevel, "other instances did not confirm an endpoint change in time")
 )
 
@@ -43,7 +44,6 @@
 	peer     *peer.Peer
 	closures api.Closures // nil without that plug-in
 	trace    *trace.Trace
-	epoch    uint64
 	started  time.Time
 	watchers []func(services []string)
 	// ownVersion returns the version that this instance reports to the other instances.
@@ -52,7 +52,9 @@
 	onPeerVersion func(v resource.Version)
 
 	// mu guards everything below.
-	mu             *rank.Mutex
+	mu *rank.Mutex
+	// epoch identifies this start in messages to other instances; see peerapi.Records.
+	epoch          uint64
 	table          *table
 	remotes        map[string]*remote
 	flushScheduled bool // a delayed flush is scheduled
