httpcall: a body that is late at the deadline is a timeout

Cause of the failures of TestSlowLongBodyIsATimeout, by a trace of each classified failure: when the read of a body ends at its deadline, the server of net/http cancels the context of the request. Where the connection to the upstream ended first, the call counted as cancelled by its caller, and the node before answered 502 in place of 504.

Change: an exchange whose deadline has passed is a timeout, whatever its context says.

--- a/core/httpcall/exchange.go
+++ b/core/httpcall/exchange.go
@@ -257,9 +257,12 @@
 		return NewFailure(KindSlowBody, v, errors.New("the request body did not arrive before the deadline"))
 	case r.Body != nil && r.Body.restErr != nil:
 		return NewFailure(KindRequestBody, v, r.Body.restErr)
+	case !time.Now().Before(r.Deadline):
+		// First, since a server also cancels the context of a request whose body does not arrive in time.
+		return NewFailure(KindTimeout, v, errors.New("deadline passed"))
 	case ctx.Err() != nil:
 		return NewFailure(KindCancelled, v, ctx.Err())
-	case errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(r.Deadline):
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return NewFailure(KindTimeout, v, errors.New("deadline passed"))
 	case v == verdict.NotRun:
 		return NewFailure(KindUnsent, v, err)
