catalog, quorum: decided configurations enter no log, entries bounded by bytes

Cause: an order that is sent again names a base that is no longer in force, so it was proposed with its whole content, although its answer was known. The log kept entries by their number, whatever their size.

--- a/plugin/catalog/configuration.go
+++ b/plugin/catalog/configuration.go
@@ -184,11 +184,32 @@
 	return cat.state.configuration.config
 }
 
+// decidedConfiguration returns the decision on a configuration that the entries applied so far determine: it was accepted, or
+// its base is no longer in force. A base never comes into force again, as the numbers of configurations rise, and the log
+// has no use for the configuration, which may be long and is sent again for each acknowledgement that is lost.
+func (cat *Catalog) decidedConfiguration(id string, next *resource.Configuration) (out change.Outcome, decided bool) {
+	cat.mu.RLock()
+	defer cat.mu.RUnlock()
+	if r, known := cat.state.records.find(id); known && r.Kind == change.KindConfiguration {
+		return r.Outcome, true
+	}
+	current := cat.state.configurationNumber()
+	if current <= next.Base {
+		return change.Outcome{}, false
+	}
+	r := newSupersededRefusal(current, next.Base)
+	return change.Outcome{ID: id, State: change.StateRefused, Revision: current, Reason: r.Reason, Text: r.Text}, true
+}
+
 // SubmitConfiguration proposes a whole configuration on behalf of an operator. id must be
 // derived from the content of next, so that a resend gets the answer to the first submission.
 // If the base of next is the configuration in force on this instance, only the difference
-// is replicated. done is called as by Submit.
+// is replicated, and nothing is if the entry would change nothing. done is called as by Submit.
 func (cat *Catalog) SubmitConfiguration(id, operator string, next *resource.Configuration, timeout time.Duration, done func(change.Outcome, error)) {
+	if out, decided := cat.decidedConfiguration(id, next); decided {
+		done(out, nil)
+		return
+	}
 	c := &change.Change{
 		ID: id, Operator: operator, Organisation: operator, Kind: change.KindConfiguration, Action: change.ActionPut, Name: "configuration",
 	}
--- a/plugin/catalog/configuration_test.go
+++ b/plugin/catalog/configuration_test.go
@@ -6,11 +6,14 @@
 	"math/rand/v2"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/go-json-experiment/json"
 
+	"github.com/celeryyard/celeryyard/core/api"
 	"github.com/celeryyard/celeryyard/core/change"
 	"github.com/celeryyard/celeryyard/core/resource"
+	"github.com/celeryyard/celeryyard/kernel/kerneltest"
 )
 
 func newConfiguration(number, base uint64, service string) *resource.Configuration {
@@ -163,3 +166,44 @@
 		base = &next
 	}
 }
+
+// Guards against configurations that enter the log although they change nothing: an accepted one that is sent again since its
+// acknowledgement was lost, and one whose base is no longer in force. Each would add its whole content to the log of every
+// instance. Those that are not decided yet must be proposed.
+func TestDecidedConfigurationsDoNotEnterTheLog(t *testing.T) {
+	k, _ := kerneltest.Start(t, []string{"quorum", "catalog"}, `{"instance": {"name": "a"}}`, false)
+	c, log := k.Plugin("catalog").(*Catalog), k.Plugin("quorum").(api.Log)
+	submit := func(id string, next *resource.Configuration) change.Outcome {
+		t.Helper()
+		done := make(chan change.Outcome, 1)
+		c.SubmitConfiguration(id, "platform", next, 5*time.Second, func(out change.Outcome, err error) {
+			if err != nil {
+				t.Error(err)
+			}
+			done <- out
+		})
+		return <-done
+	}
+	first, second, third, race := newConfiguration(1, 0, "a"), newConfiguration(2, 1, "b"), newConfiguration(3, 2, "a"), newConfiguration(3, 1, "c")
+	if out := submit("c3", third); out.State != change.StateRefused {
+		t.Fatalf("configuration on a later base: %+v", out)
+	}
+	accepted := map[string]change.Outcome{"c1": submit("c1", first), "c2": submit("c2", second)}
+	before := log.Status().Commit
+	for range 3 {
+		for id, next := range map[string]*resource.Configuration{"c1": first, "c2": second} {
+			if out := submit(id, next); out.State != change.StateAccepted || out != accepted[id] {
+				t.Errorf("%s sent again: %+v, want %+v", id, out, accepted[id])
+			}
+		}
+		if out := submit("race", race); out.State != change.StateRefused || out.Reason != change.ReasonRevisionMismatch || out.Revision != 2 {
+			t.Errorf("configuration on an earlier base: %+v", out)
+		}
+	}
+	if after := log.Status().Commit; after != before {
+		t.Errorf("%d entries were added", after-before)
+	}
+	if out := submit("c3", third); out.State != change.StateAccepted || log.Status().Commit != before+1 {
+		t.Errorf("configuration that was refused before its base was in force: %+v", out)
+	}
+}
--- a/plugin/quorum/disk.go
+++ b/plugin/quorum/disk.go
@@ -208,8 +208,7 @@
 		}
 	}
 	if s := work.snapshot; s != nil {
-		keep := uint64(q.s.KeepEntries)
-		q.core.Compact(*s, s.Index-min(s.Index, keep))
+		q.core.Compact(*s, q.core.KeepAbove(s.Index, uint64(q.s.KeepEntries), q.s.KeepBytes))
 		q.metrics.snapshots.Inc()
 		q.afterUnlock(func() { q.c.Log.Log(evLogCompacted).Uint("index", s.Index).Int("bytes", len(s.Data)).Send() })
 	}
--- a/plugin/quorum/raft/raft_test.go
+++ b/plugin/quorum/raft/raft_test.go
@@ -318,3 +318,30 @@
 	}
 	t.Fatal("no leader within the minimum election timeout")
 }
+
+// Guards against a log that keeps entries by their number only, and so takes any amount of memory when they are large, and
+// against one that keeps none for followers that are slightly behind.
+func TestKeptEntriesAreBoundedByBytes(t *testing.T) {
+	l := &memLog{configs: []indexedConfig{{}}}
+	for i := range uint64(100) {
+		l.push(replog.Entry{Index: i + 1, Term: 1, Kind: replog.KindData, Data: make([]byte, 1000)})
+	}
+	l.applied = 100
+	c := &Core{log: l}
+	size := l.entries[0].Size()
+	for _, tc := range []struct {
+		index, entries uint64
+		bytes          int
+		want           uint64
+	}{
+		{90, 2000, 10 * size, 80}, {90, 5, 10 * size, 85}, {90, 2000, 10*size - 1, 81}, {90, 0, 10 * size, 90}, {90, 2000, 0, 90}, {90, 2000, 1 << 30, 0}, {100, 2000, 3 * size, 97},
+	} {
+		if got := c.KeepAbove(tc.index, tc.entries, tc.bytes); got != tc.want {
+			t.Errorf("%+v: entries above %d are kept", tc, got)
+		}
+	}
+	c.Compact(replog.Snapshot{Index: 90, Term: 1}, 80)
+	if got := c.KeepAbove(95, 2000, 1<<30); got != 80 {
+		t.Errorf("after a compaction to 80, entries above %d are kept", got)
+	}
+}
--- a/plugin/quorum/raft/ready.go
+++ b/plugin/quorum/raft/ready.go
@@ -105,6 +105,19 @@
 	}
 }
 
+// KeepAbove returns the index above which at most maxEntries entries, whose sizes add up to at most maxBytes, follow up to the
+// given index.
+func (c *Core) KeepAbove(index, maxEntries uint64, maxBytes int) uint64 {
+	keep, size := index, 0
+	for keep > c.log.base && index-keep < maxEntries && keep <= c.log.lastIndex() {
+		if size += c.log.entries[keep-c.log.base-1].Size(); size > maxBytes {
+			break
+		}
+		keep--
+	}
+	return keep
+}
+
 // Compact records a snapshot of this member's state that is on disk. It drops the entries up to
 // keepAbove, but none above the index of the snapshot. It does nothing unless the snapshot is newer
 // than the last one and its index is in the log.
--- a/plugin/quorum/setup.go
+++ b/plugin/quorum/setup.go
@@ -18,7 +18,7 @@
 				Heartbeat:       settings.Duration(200 * time.Millisecond),
 				ReplaceAfter:    settings.Duration(2 * time.Second),
 				// A region can be cut off for an hour, and must not lose its members in that time.
-				ForgetAfter: settings.Duration(2 * time.Hour), SnapshotEntries: 10000, SnapshotBytes: 64 << 20, KeepEntries: 2000,
+				ForgetAfter: settings.Duration(2 * time.Hour), SnapshotEntries: 10000, SnapshotBytes: 16 << 20, KeepEntries: 2000, KeepBytes: 8 << 20,
 			}
 		},
 		CheckFiles: func(in *kernel.Instance, s any) error {
@@ -69,6 +69,8 @@
 	// KeepEntries is the number of entries below a snapshot that stay in memory, so that
 	// followers slightly behind do not need the snapshot.
 	KeepEntries int `json:"keep_entries"`
+	// KeepBytes bounds the size in bytes of these entries.
+	KeepBytes int `json:"keep_bytes"`
 }
 
 // targetVoters returns the number of voters of an open group. An entry is committed once a majority
@@ -110,8 +112,8 @@
 	if s.Heartbeat.AsDuration() < 10*time.Millisecond || s.ElectionTimeout.AsDuration() < 3*s.Heartbeat.AsDuration() {
 		return settings.FieldErrorf("election_timeout", "must be at least 3 heartbeats, and a heartbeat at least 10ms")
 	}
-	if s.SnapshotEntries < 1 || s.SnapshotBytes < 1 || s.KeepEntries < 0 {
-		return settings.FieldErrorf("snapshot_entries", "snapshot_entries and snapshot_bytes must be positive, keep_entries not negative")
+	if s.SnapshotEntries < 1 || s.SnapshotBytes < 1 || s.KeepEntries < 0 || s.KeepBytes < 0 {
+		return settings.FieldErrorf("snapshot_entries", "snapshot_entries and snapshot_bytes must be positive, keep_entries and keep_bytes not negative")
 	}
 	return nil
 }
