kernel: settings that change without a signal are followed at once

Cause: without a signal the file was read every 5 s.

Change: its size and time of change are looked at every 250 ms, one system call, and it is read when they differ; every 5 s it is read in any case. What is read while the file is being written is refused and read again with the next change.

Evidence: TestSettingsChangeWithoutSignalIsDetectedSoon fails before the change (the bound of 2 s is passed) and passes with it.

--- a/kernel/reload.go
+++ b/kernel/reload.go
@@ -18,9 +18,27 @@
 	evReloadSkipped = event.Declare(109, zerolog.InfoLevel, "reload skipped; the process is stopping")
 )
 
-// settingsCheckInterval is how often the settings file is checked for changes, so that a
-// change also takes effect without SIGHUP.
-const settingsCheckInterval = 5 * time.Second
+// The settings file may change without SIGHUP. Its size and time of change are looked at every settingsStatInterval, and its text
+// is compared every settingsReadInterval, for file systems that do not tell them.
+const (
+	settingsStatInterval = 250 * time.Millisecond
+	settingsReadInterval = 5 * time.Second
+)
+
+// fileState tells one state of a file from another, as far as the file system does.
+type fileState struct {
+	size    int64
+	changed time.Time
+}
+
+// statFile returns the state of a file, or the zero value if it cannot be read.
+func statFile(path string) fileState {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileState{}
+	}
+	return fileState{info.Size(), info.ModTime()}
+}
 
 // watchSettings reloads the settings on request and when the file has changed, and passes
 // them to Run, until ctx ends. Requests are kept until the plug-ins have started; requests
@@ -31,9 +49,9 @@
 	case <-ctx.Done():
 		return nil
 	}
-	ticker := time.NewTicker(settingsCheckInterval)
+	ticker := time.NewTicker(settingsStatInterval)
 	defer ticker.Stop()
-	lastText := k.settingsText
+	lastText, last, lastRead := k.settingsText, fileState{}, time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -45,7 +63,9 @@
 			}
 			lastText = k.reload(nil)
 		case <-ticker.C:
-			if k.phase.Load() == phaseRunning {
+			now, state := time.Now(), statFile(k.settingsPath)
+			if k.phase.Load() == phaseRunning && (state != last || now.Sub(lastRead) >= settingsReadInterval) {
+				last, lastRead = state, now
 				lastText = k.reload(lastText)
 			}
 		}
--- a/kernel/signal_test.go
+++ b/kernel/signal_test.go
@@ -83,6 +83,38 @@
 	s.waitForExit()
 }
 
+// Guards against a change of the settings file without SIGHUP that takes effect late, is missed because the file has the same
+// length as before, or is lost because the file was read while it was being written.
+func TestSettingsChangeWithoutSignalIsDetectedSoon(t *testing.T) {
+	const bound = 2 * time.Second
+	s := startStaged(t, "reload", nil)
+	s.waitForStage("started")
+	for i, text := range []string{
+		`{"instance": {"name": "t", "stop_timeout": "21s"}}`, // the same length
+		`{"instance": {"name": "t", "stop_timeout": "22s"}}`,
+		`{"instance": {"name": "t",`, // not written to its end
+		`{"instance": {"name": "t", "stop_timeout": "23s"}}`,
+	} {
+		time.Sleep(50 * time.Millisecond)
+		if err := os.WriteFile(s.settingsPath, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if i == 2 {
+			s.waitForLogLine(`"event":107,`)
+			continue
+		}
+		began := time.Now()
+		s.waitForStage("reload")
+		if d := time.Since(began); d > bound {
+			t.Errorf("change %d took effect after %v", i, d)
+		}
+		s.resume()
+	}
+	s.sendSignal(syscall.SIGTERM)
+	s.waitForPlannedStop()
+	s.waitForExit()
+}
+
 // Guards against a second signal that aborts a planned stop and the calls in flight, and
 // against new settings for plug-ins that have stopped.
 func TestSecondSignalDoesNotAbortPlannedStop(t *testing.T) {
