httphead: responses with two framings or another version are none

Seen with a table of odd responses: one with a length beside chunks, of HTTP/0.9 or 2.0, or with a space before the colon of Content-Length reached the caller as a success. Where the end of its body depends on which statement is believed, a body may be taken for the next response; a field name with a space goes to the caller beside the node's own framing.

Change: ReadResponse refuses another version than 1.0 or 1.1, invalid field names, and a length together with a transfer coding, which the scanner of the head sees before net/http drops one of them.

--- a/core/httphead/httphead.go
+++ b/core/httphead/httphead.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -49,6 +50,9 @@
 	// errInterimBody means that an interim response states a body. It can have none, so what follows its head could be read
 	// as the head of the next response.
 	errInterimBody = errors.New("interim response states a body")
+	// errTwoFramings means that a response has a Content-Length and a Transfer-Encoding. Which of them is believed decides where
+	// its body ends (RFC 9112, section 6.3).
+	errTwoFramings = errors.New("response has both a length and a transfer coding")
 )
 
 // Reader reads HTTP responses from a connection. Bodies are read through the embedded
@@ -67,8 +71,9 @@
 
 // ReadResponse reads the head of the next response, which may be an interim (1xx)
 // response. Its memory is limited whatever the peer sends. It blocks until the head is
-// complete, exceeds its limits, or the connection ends. A head with a status outside 100 to 599
-// (RFC 9110, section 15), or an interim one that states a body, is an error.
+// complete, exceeds its limits, or the connection ends. A head of another version than HTTP/1.0 or 1.1, with a status
+// outside 100 to 599 (RFC 9110, section 15), an invalid field name or two framings, or an interim one that states a
+// body, is an error.
 func (h *Reader) ReadResponse(req *http.Request) (*http.Response, error) {
 	buffered, err := h.Peek(h.Buffered())
 	if err != nil {
@@ -78,7 +83,7 @@
 		return nil, err
 	}
 	resp, err := http.ReadResponse(h.Reader, req)
-	limitErr, complete := h.scanner.err, h.scanner.complete
+	limitErr, complete, twoFramings := h.scanner.err, h.scanner.complete, h.scanner.hasLength && h.scanner.hasCoding
 	h.scanner.passThrough = true
 	switch {
 	case limitErr != nil:
@@ -87,12 +92,26 @@
 		return nil, err
 	case !complete:
 		return nil, errTruncated
+	case twoFramings:
+		return nil, errTwoFramings
 	}
-	return resp, checkStatus(resp)
+	if err := checkHead(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
-// checkStatus returns an error if the response has an invalid status, or is an interim one that states a body.
-func checkStatus(resp *http.Response) error {
+// checkHead returns an error if the response has an invalid version, status or field name, or is an interim one that states a
+// body.
+func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 || resp.ProtoMinor > 1 {
+		return errors.Newf("version %.12q of a response is not HTTP/1.0 or HTTP/1.1", resp.Proto)
+	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("response has the invalid field name %.40q", name)
+		}
+	}
 	code := resp.Status
 	if i := strings.IndexByte(code, ' '); i >= 0 {
 		code = code[:i]
@@ -130,7 +149,24 @@
 	bytes, lines, lineLen int
 	// startsWithCR is set if the current line starts with a carriage return.
 	startsWithCR bool
-	err          error
+	// name holds the first bytes of the current line, in lower case, which tell the fields that frame a body.
+	name [len("transfer-encoding:")]byte
+	// hasLength and hasCoding are set if the head has a field Content-Length or Transfer-Encoding.
+	hasLength, hasCoding bool
+	err                  error
+}
+
+// lineStartsWith reports whether the current line starts with a prefix, which has lower case letters only.
+func (s *headScanner) lineStartsWith(prefix string) bool {
+	return s.lineLen >= len(prefix) && string(s.name[:len(prefix)]) == prefix
+}
+
+// lower returns the lower case of an ASCII letter, and any other byte as it is.
+func lower(c byte) byte {
+	if 'A' <= c && c <= 'Z' {
+		c += 'a' - 'A'
+	}
+	return c
 }
 
 // begin starts a new head. The buffer of the Reader already holds buffered, which is the
@@ -171,9 +207,14 @@
 		if s.lineLen == 0 {
 			s.startsWithCR = b[0] == '\r'
 		}
+		for i := s.lineLen; i < len(s.name) && i-s.lineLen < n; i++ {
+			s.name[i] = lower(b[i-s.lineLen])
+		}
 		s.lineLen += n
 		s.bytes += n
 		if endsLine {
+			s.hasLength = s.hasLength || s.lineStartsWith("content-length:")
+			s.hasCoding = s.hasCoding || s.lineStartsWith("transfer-encoding:")
 			s.complete = s.lineLen == 1 || s.lineLen == 2 && s.startsWithCR
 			s.lines++
 			s.lineLen = 0
