httpserve: no request starts behind a response above the spool bounds

Cause: a response that was passed on because it exceeds the bounds of held ones did not keep later requests from being started behind it. Change: from the first bytes that are to be sent on, no later request starts before its end, held or not. TestRequestIsNotStartedBehindAStream, TestSpooledResponsesAreBounded and TestRequestsBehindACutAnswerAreAnswered pass.

--- a/core/httpserve/conn.go
+++ b/core/httpserve/conn.go
@@ -222,19 +222,16 @@
 	return true
 }
 
-// startStreaming reports whether r, whose turn it is, may be sent before its end: no later request has been started. None is started
-// then before r is complete.
-func (c *conn) startStreaming(r *response) bool {
+// hasLater reports whether a request after r, whose turn it is, has been started. From then on none is started before r is
+// complete.
+func (c *conn) hasLater(r *response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.unanswered > 1 {
-		return false
-	}
 	if !r.exclusive {
 		r.exclusive = true
 		c.exclusive++
 	}
-	return true
+	return c.unanswered > 1
 }
 
 // awaitBody waits until the body of a request was read, because the next request follows it, and
--- a/core/httpserve/response.go
+++ b/core/httpserve/response.go
@@ -130,7 +130,7 @@
 	if err := r.awaitTurn(); err != nil {
 		return err
 	}
-	if !r.streaming && !r.c.startStreaming(r) && r.spool() {
+	if !r.streaming && r.c.hasLater(r) && r.spool() {
 		return nil
 	}
 	r.streaming = true
