--- a/plugin/catalog/configuration.go
+++ b/plugin/catalog/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/celeryyard/celeryyard/core/change"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/kernel/pool"
 )
 
 // configurationEntry is the last accepted whole configuration. It is immutable.
@@ -187,42 +188,95 @@
 // decidedConfiguration returns the decision on a configuration that the entries applied so far determine: it was accepted, or
 // its base is no longer in force. A base never comes into force again, as the numbers of configurations rise, and the log
 // has no use for the configuration, which may be long and is sent again for each acknowledgement that is lost.
-func (cat *Catalog) decidedConfiguration(id string, next *resource.Configuration) (out change.Outcome, decided bool) {
-	cat.mu.RLock()
-	defer cat.mu.RUnlock()
-	if r, known := cat.state.records.find(id); known && r.Kind == change.KindConfiguration {
+func (s *state) decidedConfiguration(id string, base uint64) (out change.Outcome, decided bool) {
+	if r, known := s.records.find(id); known && r.Kind == change.KindConfiguration {
 		return r.Outcome, true
 	}
-	current := cat.state.configurationNumber()
-	if current <= next.Base {
+	if s.configurationNumber() <= base {
 		return change.Outcome{}, false
 	}
-	r := newSupersededRefusal(current, next.Base)
-	return change.Outcome{ID: id, State: change.StateRefused, Revision: current, Reason: r.Reason, Text: r.Text}, true
+	return s.supersededOutcome(id, base), true
+}
+
+// supersededOutcome returns the refusal of a configuration whose base is not the configuration in force.
+func (s *state) supersededOutcome(id string, base uint64) change.Outcome {
+	current := s.configurationNumber()
+	r := newSupersededRefusal(current, base)
+	return change.Outcome{ID: id, State: change.StateRefused, Revision: current, Reason: r.Reason, Text: r.Text}
 }
 
-// SubmitConfiguration proposes a whole configuration on behalf of an operator. id must be
+// configurationsKey is the key of the jobs that decide on submitted configurations.
+const configurationsKey = "catalog/configurations"
+
+// SubmitConfiguration decides on a whole configuration on behalf of an operator. id must be
 // derived from the content of next, so that a resend gets the answer to the first submission.
-// If the base of next is the configuration in force on this instance, only the difference
-// is replicated, and nothing is if the entry would change nothing. done is called as by Submit.
+// A configuration that the state decides enters no log; neither does one whose base is not in force after all entries
+// that were committed at the submission. Others are proposed one after the other, as the difference to their base. done is
+// called as by Submit, but maybe before SubmitConfiguration returns. The caller must not modify next.
 func (cat *Catalog) SubmitConfiguration(id, operator string, next *resource.Configuration, timeout time.Duration, done func(change.Outcome, error)) {
-	if out, decided := cat.decidedConfiguration(id, next); decided {
-		done(out, nil)
-		return
+	s := &submission{
+		id: id, operator: operator, base: next.Base, next: next, deadline: cat.c.Clock.Now().Add(timeout), done: []func(change.Outcome, error){done},
+	}
+	cat.mu.Lock()
+	cat.queue.add(s)
+	cat.mu.Unlock()
+	cat.advanceConfigurations()
+}
+
+// advanceConfigurations answers the submissions that are decided and proposes the next one.
+func (cat *Catalog) advanceConfigurations() {
+	cat.mu.Lock()
+	now := cat.c.Clock.Now()
+	work := cat.queue.advance(cat.state, now)
+	cat.mu.Unlock()
+	for i := range work.answers {
+		work.answers[i].deliver()
+	}
+	for _, w := range work.confirm {
+		cat.log.Barrier(w.deadline.Sub(now), func(err error) {
+			cat.endSubmission(func() *answer { return cat.queue.endBarrier(w, err) })
+		})
 	}
+	if p := work.propose; p != nil {
+		cat.proposeConfiguration(p, work.base, p.deadline.Sub(now))
+	}
+}
+
+// endSubmission calls end with mu held, delivers its answer and proposes the next configuration in a job.
+func (cat *Catalog) endSubmission(end func() *answer) {
+	cat.mu.Lock()
+	a := end()
+	cat.mu.Unlock()
+	if a != nil {
+		a.deliver()
+	}
+	cat.scheduleConfigurations()
+}
+
+func (cat *Catalog) scheduleConfigurations() {
+	if err := cat.c.TryGo(configurationsKey, cat.advanceConfigurations); errors.Is(err, pool.ErrFull) {
+		cat.c.RunAfter(notifyRetryDelay, configurationsKey, cat.advanceConfigurations)
+	}
+}
+
+func (cat *Catalog) proposeConfiguration(p *submission, base *resource.Configuration, timeout time.Duration) {
 	c := &change.Change{
-		ID: id, Operator: operator, Organisation: operator, Kind: change.KindConfiguration, Action: change.ActionPut, Name: "configuration",
+		ID: p.id, Operator: p.operator, Organisation: p.operator, Kind: change.KindConfiguration, Action: change.ActionPut, Name: "configuration",
 	}
 	var err error
-	if base := cat.Configuration(); base != nil && base.Number == next.Base {
+	if base != nil {
 		c.Action, c.ExpectedRevision = change.ActionRevise, base.Number
-		c.Body, err = json.Marshal(resource.NewPatch(base, next))
+		c.Body, err = json.Marshal(resource.NewPatch(base, p.next))
 	} else {
-		c.Body, err = json.Marshal(next)
+		c.Body, err = json.Marshal(p.next)
+	}
+	p.next = nil
+	end := func(out change.Outcome, err error) {
+		cat.endSubmission(func() *answer { return cat.queue.endProposal(p, out, err) })
 	}
 	if err != nil {
-		done(change.Outcome{}, verdict.Wrap(verdict.NotRun, err))
+		end(change.Outcome{}, verdict.Wrap(verdict.NotRun, err))
 		return
 	}
-	cat.Submit(c, timeout, done)
+	cat.Submit(c, timeout, end)
 }
--- a/plugin/catalog/plugin.go
+++ b/plugin/catalog/plugin.go
@@ -46,9 +46,10 @@
 
 	accepted, refused *metrics.Counter
 
-	// mu guards the replicated state.
+	// mu guards the replicated state and the queue.
 	mu    *rank.RWMutex
 	state *state
+	queue configurationQueue
 
 	// notificationQueued is set while a notification is queued and not yet running. It is not
 	// guarded by mu, so that a long Snapshot does not delay notifications.
@@ -85,7 +86,7 @@
 		cat.c.Log.Log(evMalformed).Uint("index", index).Err(err).Send()
 		return change.Outcome{State: change.StateRefused, Reason: change.ReasonMalformed, Text: err.Error()}
 	}
-	out, versionRaised := cat.applyEntry(e)
+	out, versionRaised, hasSubmissions := cat.applyEntry(e)
 	ev, counter := evAccepted, cat.accepted
 	if out.State == change.StateRefused {
 		ev, counter = evRefused, cat.refused
@@ -96,15 +97,18 @@
 	if versionRaised {
 		cat.notify()
 	}
+	if versionRaised && hasSubmissions {
+		cat.scheduleConfigurations()
+	}
 	return out
 }
 
-func (cat *Catalog) applyEntry(e entry) (out change.Outcome, versionRaised bool) {
+func (cat *Catalog) applyEntry(e entry) (out change.Outcome, versionRaised, hasSubmissions bool) {
 	cat.mu.Lock()
 	defer cat.mu.Unlock()
 	before := cat.state.version
 	out = cat.state.apply(e.Change, e.Time)
-	return out, cat.state.version > before
+	return out, cat.state.version > before, !cat.queue.isEmpty()
 }
 
 // Snapshot implements api.StateMachine.
@@ -121,6 +125,7 @@
 		return err
 	}
 	cat.replaceState(s)
+	cat.scheduleConfigurations()
 	cat.c.Log.Log(evRestored).Uint("version", uint64(s.version)).Int("resources", len(s.resources)).Send()
 	cat.notify()
 	return nil
