--- a/cmd/celeryyard/main_test.go
+++ b/cmd/celeryyard/main_test.go
@@ -31,7 +31,7 @@
 	t.Helper()
 	addr = kerneltest.FreeAddress(t)
 	text := fmt.Sprintf(`{"instance": {"name": "a"}, "operator": {"listen": %q, "tokens_file": "../../examples/operators.json"}}`, addr)
-	k, _ := kerneltest.Start(t, []string{"quorum", "catalog", "operator"}, text, false)
+	k, _ := kerneltest.Start(t, []string{"quorum", "catalog", "intake", "operator"}, text, false)
 	return addr, k.Plugin("quorum").(*apitest.Quorum)
 }
 
--- a/kernel/rank/rank.go
+++ b/kernel/rank/rank.go
@@ -20,6 +20,7 @@
 	Session      Rank = 30
 	Quorum       Rank = 40
 	Journal      Rank = 50
+	Intake       Rank = 55
 	Catalog      Rank = 60
 	Closures     Rank = 65
 	Discovery    Rank = 70
@@ -39,7 +40,7 @@
 
 var rankNames = map[Rank]string{
 	Kernel: "kernel", Peer: "peer", Session: "session", Quorum: "quorum", Journal: "journal",
-	Catalog: "catalog", Closures: "closures", Discovery: "discovery", Distribution: "distribution", Capacity: "capacity", View: "view",
+	Intake: "intake", Catalog: "catalog", Closures: "closures", Discovery: "discovery", Distribution: "distribution", Capacity: "capacity", View: "view",
 	Announce: "announce", Routing: "routing", Balancer: "balancer", Admission: "admission", Lineage: "lineage",
 	Idempotency: "idempotency", Load: "load", Pool: "pool", Events: "events",
 }
--- a/plugin/operator/changes.go
+++ b/plugin/operator/changes.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/celeryyard/celeryyard/core/change"
 	"github.com/celeryyard/celeryyard/core/resource"
 	"github.com/celeryyard/celeryyard/core/verdict"
+	"github.com/celeryyard/celeryyard/plugin/intake"
 )
 
 // maxRequestBytes is the maximum size of a request's body: the largest template or team, and 2048
@@ -40,10 +40,11 @@
 }
 
 func (o *Operator) postChange(e echo.Context) error {
-	body, err := io.ReadAll(http.MaxBytesReader(e.Response(), e.Request().Body, maxRequestBytes))
+	body, release, err := o.intake.ReadBody(e.Response(), e.Request(), maxRequestBytes)
 	if err != nil {
-		return writeResponse(e, errorResponse(http.StatusRequestEntityTooLarge, "the body is above the limit or was not received"))
+		return writeResponse(e, errorResponse(intake.StatusCode(err), err.Error()))
 	}
+	defer release()
 	who := identityFromContext(e)
 	var id atomic.Value // ID of the change, empty until it is decoded
 	id.Store("")
--- a/plugin/operator/plugin.go
+++ b/plugin/operator/plugin.go
@@ -22,6 +22,7 @@
 	"github.com/celeryyard/celeryyard/kernel/settings"
 	"github.com/celeryyard/celeryyard/plugin/admin"
 	"github.com/celeryyard/celeryyard/plugin/catalog"
+	"github.com/celeryyard/celeryyard/plugin/intake"
 )
 
 var (
@@ -47,6 +48,7 @@
 	s       *Settings
 	log     api.Log
 	catalog *catalog.Catalog
+	intake  *intake.Intake
 	// fleet is the plug-in "distribution"; nil if the program does not contain it.
 	fleet api.Fleet
 	// discovery is nil if the program does not contain the plug-in "discovery".
@@ -65,7 +67,7 @@
 func newOperator(c *kernel.Context) *Operator {
 	o := &Operator{
 		c: c, s: c.Settings.(*Settings), log: kernel.MustFind[api.Log](c, "quorum"),
-		catalog: kernel.MustFind[*catalog.Catalog](c, "catalog"), echo: echo.New(),
+		catalog: kernel.MustFind[*catalog.Catalog](c, "catalog"), intake: kernel.MustFind[*intake.Intake](c, "intake"), echo: echo.New(),
 		requests:  c.Metrics.NewCounter("celeryyard_operator_requests_total"),
 		badTokens: c.Metrics.NewCounter("celeryyard_operator_refused_tokens_total"),
 	}
--- a/plugin/operator/setup.go
+++ b/plugin/operator/setup.go
@@ -10,7 +10,7 @@
 func init() {
 	kernel.Register(kernel.Registration{
 		Name:  "operator",
-		Needs: []string{"quorum", "catalog"},
+		Needs: []string{"quorum", "catalog", "intake"},
 		After: []string{"admin", "distribution", "discovery"},
 		Settings: func() any {
 			return &Settings{
--- a/role/control/control.go
+++ b/role/control/control.go
@@ -8,6 +8,7 @@
 	_ "github.com/celeryyard/celeryyard/plugin/closures"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/discovery"    // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/distribution" // registers itself
+	_ "github.com/celeryyard/celeryyard/plugin/intake"       // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/journal"      // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/operator"     // registers itself
 	_ "github.com/celeryyard/celeryyard/plugin/peer"         // registers itself
@@ -17,5 +18,5 @@
 
 // Plugins lists the plug-ins of a control instance.
 func Plugins() []string {
-	return []string{"admin", "trace", "peer", "journal", "quorum", "catalog", "closures", "operator", "discovery", "capacity", "distribution"}
+	return []string{"admin", "trace", "peer", "journal", "quorum", "catalog", "closures", "intake", "operator", "discovery", "capacity", "distribution"}
 }
