--- a/plugin/journal/record.go
+++ b/plugin/journal/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json"
@@ -60,13 +61,23 @@
 	return binary.BigEndian.Uint64(head[16:]), true
 }
 
+// newFrame returns the header of a frame, still empty, to which the payload is appended.
+func newFrame() []byte { return make([]byte, frameHeaderBytes) }
+
+// fillFrameHeader fills in the header of a frame with its payload. offset is the position of the frame in its segment.
+func fillFrameHeader(frame []byte, salt uint64, offset int64) {
+	payload := frame[frameHeaderBytes:]
+	binary.BigEndian.PutUint64(frame, salt)
+	binary.BigEndian.PutUint32(frame[8:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(frame[12:], frameChecksum(salt, offset, payload))
+}
+
 // appendFrame appends to b a frame with the payload. offset is the position of the frame in its
 // segment.
 func appendFrame(b []byte, salt uint64, offset int64, payload []byte) []byte {
-	b = binary.BigEndian.AppendUint64(b, salt)
-	b = binary.BigEndian.AppendUint32(b, uint32(len(payload)))
-	b = binary.BigEndian.AppendUint32(b, frameChecksum(salt, offset, payload))
-	return append(b, payload...)
+	frame := append(newFrame(), payload...)
+	fillFrameHeader(frame, salt, offset)
+	return append(b, frame...)
 }
 
 func frameChecksum(salt uint64, offset int64, payload []byte) uint32 {
@@ -114,11 +125,14 @@
 			return nil, errors.Wrap(err, "encode configuration")
 		}
 	}
-	body := make([]byte, 0, 2*binary.MaxVarintLen64+1+len(data))
-	body = binary.AppendUvarint(body, e.Index)
-	body = binary.AppendUvarint(body, e.Term)
-	body = append(body, byte(e.Kind))
-	return appendRecord(b, recordEntry, append(body, data...)), nil
+	head := make([]byte, 0, 2*binary.MaxVarintLen64+1)
+	head = binary.AppendUvarint(head, e.Index)
+	head = binary.AppendUvarint(head, e.Term)
+	head = append(head, byte(e.Kind))
+	b = slices.Grow(b, 1+binary.MaxVarintLen64+len(head)+len(data))
+	b = append(b, recordEntry)
+	b = binary.AppendUvarint(b, uint64(len(head)+len(data)))
+	return append(append(b, head...), data...), nil
 }
 
 func parseEntry(body []byte) (replog.Entry, error) {
--- a/plugin/journal/snapshot.go
+++ b/plugin/journal/snapshot.go
@@ -91,7 +91,7 @@
 	if reset {
 		resetFlag = 1
 	}
-	if err := s.write(appendUvarintRecord(nil, recordSnapshot, snap.Index, snap.Term, resetFlag)); err != nil {
+	if err := s.write(appendUvarintRecord(newFrame(), recordSnapshot, snap.Index, snap.Term, resetFlag)); err != nil {
 		if errors.Is(err, ErrNoSpace) && snap.Index != s.state.Snapshot.Index {
 			// Without its record the file is not part of the journal, and the space is needed.
 			if removeErr := s.fs.Remove(filepath.Join(s.dir, snapshotName(snap.Index, snap.Term))); removeErr != nil {
--- a/plugin/journal/store.go
+++ b/plugin/journal/store.go
@@ -13,7 +13,7 @@
 
 // maxFramePayloadBytes is the payload size above which a frame is written and synced. The remaining
 // entries of the batch follow in further frames.
-const maxFramePayloadBytes = 16 << 20
+const maxFramePayloadBytes = 4 << 20
 
 // Batch is the data written by one Save. Fields that are zero, nil or empty leave the stored value
 // unchanged.
@@ -77,7 +77,7 @@
 }
 
 func (s *DiskStore) save(b Batch) error {
-	var payload []byte
+	payload := newFrame()
 	if b.MemberID != 0 {
 		payload = appendUvarintRecord(payload, recordMemberID, uint64(b.MemberID))
 		s.state.MemberID = b.MemberID
@@ -109,10 +109,10 @@
 			if err := s.write(payload); err != nil {
 				return err
 			}
-			payload = nil
+			payload = newFrame()
 		}
 	}
-	if len(payload) > 0 {
+	if len(payload) > frameHeaderBytes {
 		if err := s.write(payload); err != nil {
 			return err
 		}
@@ -126,10 +126,10 @@
 	return nil
 }
 
-// write appends a frame with the payload to the open segment and syncs it. If the disk is full, it
+// write appends a frame that newFrame has begun to the open segment and syncs it. If the disk is full, it
 // removes what was written of the frame, so that the frame can be written again.
-func (s *DiskStore) write(payload []byte) error {
-	frame := appendFrame(nil, s.salt, s.sizeBytes, payload)
+func (s *DiskStore) write(frame []byte) error {
+	fillFrameHeader(frame, s.salt, s.sizeBytes)
 	_, err := s.file.Write(frame)
 	if err == nil {
 		err = s.file.Sync()
