--- a/core/rpc/frame.go
+++ b/core/rpc/frame.go
@@ -185,7 +185,7 @@
 func encodeFrame(body []byte) ([]byte, error) {
 	flag := byte(flagPlain)
 	if len(body) >= minCompressBytes {
-		if compressed := encoder().EncodeAll(body, make([]byte, 0, len(body))); len(compressed) < len(body) {
+		if compressed := encoder().EncodeAll(body, make([]byte, 0, compressedCapacity(len(body)))); len(compressed) < len(body) {
 			body, flag = compressed, flagZstd
 		}
 	}
@@ -198,6 +198,16 @@
 	return append(frame, body...), nil
 }
 
+// compressedCapacity returns the capacity of the buffer for a compressed body. Long messages hold configurations and
+// endpoint sets, which become several times shorter; the buffer grows if one does not.
+func compressedCapacity(bodyBytes int) int {
+	const short = 4 << 10
+	if bodyBytes <= short {
+		return bodyBytes
+	}
+	return bodyBytes / 4
+}
+
 // readFrame reads one frame and returns its uncompressed body.
 func readFrame(r *bufio.Reader) ([]byte, error) {
 	size, err := binary.ReadUvarint(r)
--- a/core/rpc/message.go
+++ b/core/rpc/message.go
@@ -16,19 +16,21 @@
 }
 
 // NewMessage encodes a notification for Conn.Send. It is used instead of Conn.Notify for a message
-// that is sent to many processes: encoding a large message takes milliseconds of CPU time, so it is
-// done only once.
+// that is sent to many processes, since encoding a large message takes milliseconds of CPU time, or that is large:
+// Notify makes several copies of it.
 func NewMessage(method string, params any) (*Message, error) {
 	raw, err := json.Marshal(params)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode %s", method)
 	}
-	body, err := stdjson.Marshal(method)
+	name, err := stdjson.Marshal(method)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode %s", method)
 	}
-	body = append([]byte(`{"jsonrpc":"2.0","method":`), body...)
-	body = append(append(append(body, `,"params":`...), raw...), '}')
+	const head, middle = `{"jsonrpc":"2.0","method":`, `,"params":`
+	body := make([]byte, 0, len(head)+len(name)+len(middle)+len(raw)+1)
+	body = append(append(append(body, head...), name...), middle...)
+	body = append(append(body, raw...), '}')
 	frame, err := encodeFrame(body)
 	if err != nil {
 		return nil, err
