--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -45,6 +45,7 @@
 	evSnapshotSkipped   = event.Declare(367, zerolog.WarnLevel, "snapshot not written: the disk has no room for it")
 	evBootstrapBegun    = event.Declare(369, zerolog.InfoLevel, "bootstrap begun: the data folder says that this instance forms a group")
 	evBootstrapResumed  = event.Declare(368, zerolog.InfoLevel, "bootstrap continues that was begun before a restart")
+	evNotEncoded        = event.Declare(370, zerolog.ErrorLevel, "message to another instance could not be encoded")
 	evBootstrapIgnored  = event.Declare(362, zerolog.WarnLevel, "bootstrap ignored: the data folder belongs to a group")
 )
 
@@ -56,6 +57,10 @@
 // below that.
 const maxInflightBytes = 4 << 20
 
+// maxUncommittedBytes bounds the size of the proposals that a leader holds above the commit index. Further ones are
+// refused, and their operators send them again.
+const maxUncommittedBytes = 16 << 20
+
 // Keys of the jobs.
 const (
 	pumpKey  = "quorum"
@@ -236,7 +241,7 @@
 	q.memberID = r.MemberID
 	q.core = raft.New(raft.Options{
 		ID: r.MemberID, ElectionTimeout: raft.Instant(q.s.ElectionTimeout.AsDuration()), HeartbeatInterval: heartbeat, LearnerHeartbeatInterval: learnerHeartbeatRatio * heartbeat,
-		MaxBatchBytes: 1 << 20, MaxInflightAppends: 32, MaxInflightBytes: maxInflightBytes, MaxUncommittedBytes: 64 << 20, Rand: rng,
+		MaxBatchBytes: 1 << 20, MaxInflightAppends: 32, MaxInflightBytes: maxInflightBytes, MaxUncommittedBytes: maxUncommittedBytes, Rand: rng,
 	}, raft.RecoveredState{HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries}, q.now())
 	q.disk.commit = r.HardState.Commit
 	q.disk.releasedVersion = resource.Version(r.ReleasedVersion)
--- a/plugin/quorum/pump.go
+++ b/plugin/quorum/pump.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/celeryyard/celeryyard/core/replog"
+	"github.com/celeryyard/celeryyard/core/rpc"
 	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
 
@@ -144,10 +145,11 @@
 			s = &stepMessage{From: q.memberID, To: m.To, name: name}
 			out[key] = s
 		}
-		s.Messages = append(s.Messages, toWire(m))
+		bytes := 0
 		for j := range m.Entries {
-			s.bytes += m.Entries[j].Size()
+			bytes += m.Entries[j].Size()
 		}
+		s.add(toWire(m), bytes)
 	}
 	return out
 }
@@ -172,10 +174,20 @@
 	q.mu.Lock()
 	link := q.links[s.name]
 	q.mu.Unlock()
-	if link != nil {
-		if c := link.Conn(); c != nil {
-			_ = c.Notify("quorum.step", s) // the link detects a broken connection
+	if link == nil {
+		return
+	}
+	for _, part := range s.split(largeMessageBytes) {
+		c := link.Conn()
+		if c == nil {
+			return
+		}
+		m, err := rpc.NewMessage("quorum.step", part)
+		if err != nil {
+			q.c.Log.Log(evNotEncoded).Str("instance", s.name).Err(err).Send()
+			continue
 		}
+		_ = c.Send(m) // the link detects a broken connection
 	}
 }
 
--- a/plugin/quorum/wire.go
+++ b/plugin/quorum/wire.go
@@ -15,6 +15,28 @@
 	Messages []wireMessage   `json:"m"`
 	name     string          // name of the receiving instance
 	bytes    int             // approximate size of the entries
+	sizes    []int           // approximate size of the entries of each message
+}
+
+func (s *stepMessage) add(m wireMessage, bytes int) {
+	s.Messages, s.sizes = append(s.Messages, m), append(s.sizes, bytes)
+	s.bytes += bytes
+}
+
+// split returns the message in parts, so that only the one that is being sent takes memory for its encoding, which is
+// several times that of its entries. A part has more than maxBytes of entries only if it is a single message.
+func (s *stepMessage) split(maxBytes int) []*stepMessage {
+	if s.bytes <= maxBytes || len(s.Messages) == 1 {
+		return []*stepMessage{s}
+	}
+	var out []*stepMessage
+	for i, m := range s.Messages {
+		if n := len(out); n == 0 || out[n-1].bytes+s.sizes[i] > maxBytes {
+			out = append(out, &stepMessage{From: s.From, To: s.To, name: s.name})
+		}
+		out[len(out)-1].add(m, s.sizes[i])
+	}
+	return out
 }
 
 // wireMessage is the encoding of a raft.Message within a stepMessage.
