--- a/plugin/quorum/bootstrap_test.go
+++ b/plugin/quorum/bootstrap_test.go
@@ -45,7 +45,7 @@
 func newEmptyCore(id replog.MemberID) *raft.Core {
 	return raft.New(raft.Options{
 		ID: id, ElectionTimeout: 900 * ms, HeartbeatInterval: 200 * ms, MaxBatchBytes: 200, MaxInflightAppends: 3, MaxInflightBytes: 400,
-		MaxUncommittedBytes: 1 << 20, Rand: rand.New(rand.NewPCG(1, 1)),
+		MaxUncommittedBytes: 1 << 20, MaxUnsavedBytes: 1 << 20, Rand: rand.New(rand.NewPCG(1, 1)),
 	}, raft.RecoveredState{}, 0)
 }
 
--- a/plugin/quorum/export_test.go
+++ b/plugin/quorum/export_test.go
@@ -7,8 +7,12 @@
 
 	"github.com/celeryyard/celeryyard/core/replog"
 	"github.com/celeryyard/celeryyard/plugin/journal"
+	"github.com/celeryyard/celeryyard/plugin/quorum/raft"
 )
 
+// LogBytes returns the size of the entries that q holds in memory.
+func LogBytes(q *Quorum) int { return q.measureLog((*raft.Core).LogBytes) }
+
 // FullDisk replaces the journal of an instance by one whose writes fail while Full is set, and whose
 // snapshots fail while FullForSnapshots is set, as on a disk that has room only for small writes.
 type FullDisk struct {
@@ -16,6 +20,8 @@
 	Full, FullForSnapshots atomic.Bool
 	// FailedSnapshots counts the snapshots that failed.
 	FailedSnapshots atomic.Int32
+	// Hang, if set, is called before each write.
+	Hang atomic.Pointer[func()]
 }
 
 // NewFullDisk installs a FullDisk with free space in q.
@@ -33,6 +39,9 @@
 }
 
 func (f *FullDisk) check() error {
+	if hang := f.Hang.Load(); hang != nil {
+		(*hang)()
+	}
 	if f.Full.Load() {
 		return errNoSpace
 	}
--- a/plugin/quorum/plugin.go
+++ b/plugin/quorum/plugin.go
@@ -57,10 +57,6 @@
 // below that.
 const maxInflightBytes = 4 << 20
 
-// maxUncommittedBytes bounds the size of the proposals that a leader holds above the commit index. Further ones are
-// refused, and their operators send them again.
-const maxUncommittedBytes = 16 << 20
-
 // Keys of the jobs.
 const (
 	pumpKey  = "quorum"
@@ -162,6 +158,11 @@
 	}
 	c.Metrics.NewGauge("celeryyard_quorum_leader", func() float64 { return boolToFloat(q.Status().Role == "leader") })
 	c.Metrics.NewGauge("celeryyard_quorum_voter", func() float64 { return boolToFloat(q.Status().Role != "learner") })
+	for name, read := range map[string]func(*raft.Core) int{
+		"celeryyard_quorum_log_bytes": (*raft.Core).LogBytes, "celeryyard_quorum_unsaved_bytes": (*raft.Core).UnsavedBytes,
+	} {
+		c.Metrics.NewGauge(name, func() float64 { return float64(q.measureLog(read)) })
+	}
 	c.Metrics.NewGauge("celeryyard_quorum_commit_index", func() float64 { return float64(q.Status().Commit) })
 	c.Metrics.NewGauge("celeryyard_quorum_confirmed_age_seconds", func() float64 {
 		if s := q.Status(); !s.Confirmed.IsZero() {
@@ -241,7 +242,7 @@
 	q.memberID = r.MemberID
 	q.core = raft.New(raft.Options{
 		ID: r.MemberID, ElectionTimeout: raft.Instant(q.s.ElectionTimeout.AsDuration()), HeartbeatInterval: heartbeat, LearnerHeartbeatInterval: learnerHeartbeatRatio * heartbeat,
-		MaxBatchBytes: 1 << 20, MaxInflightAppends: 32, MaxInflightBytes: maxInflightBytes, MaxUncommittedBytes: maxUncommittedBytes, Rand: rng,
+		MaxBatchBytes: 1 << 20, MaxInflightAppends: 32, MaxInflightBytes: maxInflightBytes, MaxUncommittedBytes: q.s.UncommittedBytes, MaxUnsavedBytes: q.s.UnsavedBytes, Rand: rng,
 	}, raft.RecoveredState{HardState: r.HardState, Snapshot: r.Snapshot, Entries: r.Entries}, q.now())
 	q.disk.commit = r.HardState.Commit
 	q.disk.releasedVersion = resource.Version(r.ReleasedVersion)
--- a/plugin/quorum/pump.go
+++ b/plugin/quorum/pump.go
@@ -42,6 +42,7 @@
 	q.routeProposals(now)
 	q.startBarriers(now)
 	q.maintainMembership(now)
+	q.leaveSlowDisk(now)
 	q.core.Flush(now)
 	out := q.handleReady(now)
 	q.mu.Unlock()
@@ -49,6 +50,24 @@
 	runCalls(q.lockAndTakeDeferred())
 }
 
+// leaveSlowDisk passes the leadership on if the disk of this instance falls behind those of a majority; mu is held. The group
+// would otherwise wait for this disk once UnsavedBytes are reached, although the others can go on without it.
+func (q *Quorum) leaveSlowDisk(now raft.Instant) {
+	if q.core.State() == raft.Leader && q.core.UnsavedBytes() > q.s.UnsavedBytes/2 && q.core.CommittedUnsavedBytes() > q.s.UnsavedBytes/2 {
+		q.core.TransferLeadership(now)
+	}
+}
+
+// measureLog reads a measure of the log; 0 before the start.
+func (q *Quorum) measureLog(read func(*raft.Core) int) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.core == nil {
+		return 0
+	}
+	return read(q.core)
+}
+
 // handleReady carries out the core's decisions and returns the messages to send; mu is
 // held.
 func (q *Quorum) handleReady(now raft.Instant) map[string]*stepMessage {
--- a/plugin/quorum/raft/follow.go
+++ b/plugin/quorum/raft/follow.go
@@ -14,6 +14,9 @@
 		c.send(Message{Type: MsgAppendResp, To: m.From, Reject: true, Index: m.Index, Hint: hint, HintTerm: hintTerm, Round: m.Round, Timestamp: c.now})
 		return
 	}
+	if c.diskBlocked && c.log.unsavedBytes > c.opts.MaxUnsavedBytes {
+		m.Entries = nil
+	}
 	c.log.merge(m.Entries)
 	last := m.Index + uint64(len(m.Entries))
 	c.log.commit = max(c.log.commit, min(m.Commit, last))
@@ -33,6 +36,9 @@
 	resp := Message{Type: MsgHeartbeatResp, To: m.From, Round: m.Round, Timestamp: c.now}
 	if c.diskBlocked {
 		resp.Reject, resp.Hint, resp.HintTerm = true, c.log.lastIndex(), c.log.lastTerm()
+		if c.log.unsavedBytes > c.opts.MaxUnsavedBytes {
+			resp.Hint, resp.HintTerm = 0, 0 // accepts no entries
+		}
 	}
 	c.send(resp)
 }
@@ -153,6 +159,10 @@
 	}
 	p.paused = false
 	p.setBlocked(m.Reject, c.now)
+	if p.blocked && m.Hint == 0 {
+		p.paused = true // the member has no room in memory either
+		return
+	}
 	if p.blocked && c.log.matches(m.Hint, m.HintTerm) {
 		// The member acknowledges nothing, but holds the entries up to the hint in memory.
 		p.becomeProbe()
--- a/plugin/quorum/raft/lead.go
+++ b/plugin/quorum/raft/lead.go
@@ -16,6 +16,9 @@
 	if c.leaderState.uncommittedBytes > 0 && c.leaderState.uncommittedBytes+len(data) > c.opts.MaxUncommittedBytes {
 		return 0, 0, ErrOverloaded
 	}
+	if c.log.unsavedBytes > 0 && c.log.unsavedBytes+len(data) > c.opts.MaxUnsavedBytes {
+		return 0, 0, ErrOverloaded // others may have committed the entries, but the disk of this member hangs
+	}
 	index = c.append(replog.Entry{Kind: replog.KindData, Data: data})
 	return index, c.term, nil
 }
@@ -190,12 +193,15 @@
 // TransferLeadership starts a transfer of leadership to the active voter with the most complete
 // log. That voter starts an election once it has the whole log. Proposals are rejected until the
 // transfer ends, for at most one minimum election timeout. TransferLeadership returns false if
-// this member is not the leader or no other voter is active.
+// this member is not the leader or no other voter is active. It does nothing while a transfer is in progress.
 func (c *Core) TransferLeadership(now Instant) bool {
 	c.now = now
 	if c.state != Leader {
 		return false
 	}
+	if c.leaderState.transferTarget != 0 {
+		return true
+	}
 	var best replog.MemberID
 	for _, id := range c.log.config().VoterIDs() {
 		p := c.leaderState.progress[id]
--- a/plugin/quorum/raft/log.go
+++ b/plugin/quorum/raft/log.go
@@ -11,6 +11,8 @@
 	// base is the index of the entry before the first one held, and baseTerm is its term.
 	base, baseTerm uint64
 	entries        []replog.Entry
+	// bytes is the size of entries, and unsavedBytes that of the ones above stable.
+	bytes, unsavedBytes int
 	// snapshot describes the newest snapshot; its index is at least base.
 	snapshot replog.Snapshot
 	// stable is the highest saved index. commit is the highest committed index. applied is the
@@ -34,7 +36,7 @@
 	for _, e := range r.Entries {
 		l.push(e)
 	}
-	l.stable = l.lastIndex()
+	l.markSaved(l.lastIndex())
 	l.commit = min(max(l.commit, r.HardState.Commit), l.lastIndex())
 	return l
 }
@@ -87,6 +89,8 @@
 		panic(fmt.Sprintf("entry %d appended after %d", e.Index, l.lastIndex()))
 	}
 	l.entries = append(l.entries, e)
+	l.bytes += e.Size()
+	l.unsavedBytes += e.Size()
 	if e.Kind == replog.KindConfig {
 		l.configs = append(l.configs, indexedConfig{e.Index, *e.Config})
 	}
@@ -112,6 +116,13 @@
 		panic(fmt.Sprintf("committed entry %d would be replaced (commit index %d)", i, l.commit))
 	}
 	n := i - l.base - 1
+	for j := n; j < uint64(len(l.entries)); j++ {
+		size := l.entries[j].Size()
+		l.bytes -= size
+		if l.base+1+j > l.stable {
+			l.unsavedBytes -= size
+		}
+	}
 	l.entries = l.entries[:n:n] // a later append must not overwrite slices that were returned
 	l.stable = min(l.stable, i-1)
 	for len(l.configs) > 1 && l.configs[len(l.configs)-1].index >= i {
@@ -119,6 +130,14 @@
 	}
 }
 
+// markSaved records that the entries up to index i are saved.
+func (l *memLog) markSaved(i uint64) {
+	for l.stable < i {
+		l.stable++
+		l.unsavedBytes -= l.entries[l.stable-l.base-1].Size()
+	}
+}
+
 // config returns the newest configuration, committed or not.
 func (l *memLog) config() *replog.Config { return &l.configs[len(l.configs)-1].config }
 
@@ -136,12 +155,15 @@
 	return out
 }
 
-// compact drops the entries up to index i. It does nothing if entry i is not yet applied.
+// compact drops the entries up to index i, which must be saved. It does nothing if entry i is not yet applied.
 func (l *memLog) compact(i uint64) {
 	if i <= l.base || i > l.applied {
 		return
 	}
 	term, _ := l.term(i)
+	for j := range i - l.base {
+		l.bytes -= l.entries[j].Size()
+	}
 	l.entries = append([]replog.Entry(nil), l.entries[i-l.base:]...)
 	l.base, l.baseTerm = i, term
 	for len(l.configs) > 1 && l.configs[1].index <= i {
@@ -153,6 +175,7 @@
 func (l *memLog) restore(s replog.Snapshot) {
 	s.Data = nil
 	l.base, l.baseTerm, l.entries, l.snapshot = s.Index, s.Term, nil, s
+	l.bytes, l.unsavedBytes = 0, 0
 	l.stable, l.commit = s.Index, s.Index
 	l.configs = []indexedConfig{{s.Index, s.Config}}
 }
--- a/plugin/quorum/raft/message.go
+++ b/plugin/quorum/raft/message.go
@@ -102,7 +102,10 @@
 	// MaxUncommittedBytes limits the size of the uncommitted proposals, beyond which Propose
 	// returns ErrOverloaded. A single larger proposal is still accepted.
 	MaxUncommittedBytes int
-	Rand                *rand.Rand
+	// MaxUnsavedBytes limits the size of the entries that this member holds in memory and not on disk. A follower
+	// whose disk is blocked accepts no more, and a leader returns ErrOverloaded. A single larger entry is accepted.
+	MaxUnsavedBytes int
+	Rand            *rand.Rand
 }
 
 // RecoveredState is the state with which a member starts.
--- a/plugin/quorum/raft/raft_test.go
+++ b/plugin/quorum/raft/raft_test.go
@@ -14,7 +14,7 @@
 func testOptions(id replog.MemberID) Options {
 	return Options{
 		ID: id, ElectionTimeout: second, HeartbeatInterval: second / 5, LearnerHeartbeatInterval: second / 2, MaxBatchBytes: 1 << 10,
-		MaxInflightAppends: 32, MaxInflightBytes: 2 << 10, MaxUncommittedBytes: 1 << 20, Rand: rand.New(rand.NewPCG(uint64(id), 1)),
+		MaxInflightAppends: 32, MaxInflightBytes: 2 << 10, MaxUncommittedBytes: 1 << 20, MaxUnsavedBytes: 1 << 20, Rand: rand.New(rand.NewPCG(uint64(id), 1)),
 	}
 }
 
--- a/plugin/quorum/raft/ready.go
+++ b/plugin/quorum/raft/ready.go
@@ -53,7 +53,7 @@
 		// Entries that were replaced during the save have a different term and do not count as
 		// saved.
 		if e := s.Entries[n-1]; c.log.matches(e.Index, e.Term) && c.unsavedSnapshot == nil {
-			c.log.stable = max(c.log.stable, e.Index)
+			c.log.markSaved(e.Index)
 		}
 	}
 	if c.state == Leader {
@@ -130,6 +130,21 @@
 	c.log.compact(min(keepAbove, s.Index))
 }
 
+// LogBytes returns the size of the entries in memory in bytes.
+func (c *Core) LogBytes() int { return c.log.bytes }
+
+// UnsavedBytes returns the size in bytes of the entries in memory that are not on disk.
+func (c *Core) UnsavedBytes() int { return c.log.unsavedBytes }
+
+// CommittedUnsavedBytes returns the size in bytes of the committed entries that are not on the disk of this member.
+func (c *Core) CommittedUnsavedBytes() int {
+	size := 0
+	for _, e := range c.log.slice(c.log.stable+1, c.log.commit, 1<<62) {
+		size += e.Size()
+	}
+	return size
+}
+
 // StableIndex returns the index of the last saved entry.
 func (c *Core) StableIndex() uint64 { return c.log.stable }
 
--- a/plugin/quorum/setup.go
+++ b/plugin/quorum/setup.go
@@ -19,6 +19,7 @@
 				ReplaceAfter:    settings.Duration(2 * time.Second),
 				// A region can be cut off for an hour, and must not lose its members in that time.
 				ForgetAfter: settings.Duration(2 * time.Hour), SnapshotEntries: 10000, SnapshotBytes: 16 << 20, KeepEntries: 2000, KeepBytes: 8 << 20,
+				UncommittedBytes: 16 << 20, UnsavedBytes: 16 << 20,
 			}
 		},
 		CheckFiles: func(in *kernel.Instance, s any) error {
@@ -71,6 +72,12 @@
 	KeepEntries int `json:"keep_entries"`
 	// KeepBytes bounds the size in bytes of these entries.
 	KeepBytes int `json:"keep_bytes"`
+	// UncommittedBytes bounds the size in bytes of the proposals that a leader holds above the commit index. Further
+	// ones are refused, and their operators send them again.
+	UncommittedBytes int `json:"uncommitted_bytes"`
+	// UnsavedBytes bounds the size in bytes of the entries that are not on the disk of this instance, while it hangs or
+	// is full. At half of it, a leader passes its leadership on if the others go on without this disk.
+	UnsavedBytes int `json:"unsaved_bytes"`
 }
 
 // targetVoters returns the number of voters of an open group. An entry is committed once a majority
@@ -115,5 +122,8 @@
 	if s.SnapshotEntries < 1 || s.SnapshotBytes < 1 || s.KeepEntries < 0 || s.KeepBytes < 0 {
 		return settings.FieldErrorf("snapshot_entries", "snapshot_entries and snapshot_bytes must be positive, keep_entries and keep_bytes not negative")
 	}
+	if s.UncommittedBytes < 1 || s.UnsavedBytes < 1 {
+		return settings.FieldErrorf("uncommitted_bytes", "uncommitted_bytes and unsaved_bytes must be positive")
+	}
 	return nil
 }
--- a/plugin/quorum/sim_test.go
+++ b/plugin/quorum/sim_test.go
@@ -166,7 +166,7 @@
 	}
 	n.core = raft.New(raft.Options{
 		ID: d.member, ElectionTimeout: 900 * ms, HeartbeatInterval: 200 * ms, LearnerHeartbeatInterval: learnerHeartbeatRatio * 200 * ms,
-		MaxBatchBytes: 200, MaxInflightAppends: 3, MaxInflightBytes: 400, MaxUncommittedBytes: 1 << 20, Rand: s.rng,
+		MaxBatchBytes: 200, MaxInflightAppends: 3, MaxInflightBytes: 400, MaxUncommittedBytes: 1 << 20, MaxUnsavedBytes: 600, Rand: s.rng,
 	}, raft.RecoveredState{HardState: d.hardState, Snapshot: d.snapshot, Entries: d.entries}, s.localTime(n))
 	s.handleReady(n)
 }
