--- a/kernel/context.go
+++ b/kernel/context.go
@@ -51,6 +51,9 @@
 	// GCPercent is the heap growth, in percent, that triggers the next garbage collection;
 	// lower values use less memory and more CPU time.
 	GCPercent int `json:"gc_percent"`
+	// MemoryMB is the memory that the process may use, in MiB; 0 if there is no limit. When the memory of the Go runtime
+	// approaches half of it, garbage is collected more often than GCPercent says, for up to half of the CPU time.
+	MemoryMB float64 `json:"memory_mb"`
 	// Bootstrap allows a control instance with an empty data folder to form a new
 	// group of voters; it has the same effect as the flag --bootstrap.
 	Bootstrap bool `json:"bootstrap"`
@@ -59,6 +62,10 @@
 // stopGraceFraction is the fraction of StopGrace that a stop may take. The rest is for the exit itself.
 const stopGraceFraction = 0.95
 
+// runtimeMemoryLimit returns the memory in bytes above which the runtime collects garbage more often; 0 for none. The other
+// half of the memory is for peaks and for the buffers of sockets.
+func (i *Instance) runtimeMemoryLimit() int64 { return int64(i.MemoryMB * (1 << 20) / 2) }
+
 // maxStopTime returns the maximum duration of a stop.
 func (i *Instance) maxStopTime() time.Duration {
 	if i.StopGrace > 0 {
@@ -82,6 +89,8 @@
 		return settings.FieldErrorf("name", "must not be empty")
 	case i.GCPercent < 10 || i.GCPercent > 1000:
 		return settings.FieldErrorf("gc_percent", "%d is outside 10..1000", i.GCPercent)
+	case i.MemoryMB < 0 || i.MemoryMB > 1<<20:
+		return settings.FieldErrorf("memory_mb", "%v is outside 0..1048576", i.MemoryMB)
 	case i.Workers < 1 || i.Workers > 1024:
 		return settings.FieldErrorf("workers", "%d is outside 1..1024", i.Workers)
 	case i.QueueJobs < 16 || i.QueueJobs > 1<<20:
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -142,3 +142,20 @@
 		t.Errorf("plug-in was not stopped: %v", calls)
 	}
 }
+
+// Guards against a runtime that does not know the memory of its machine, and against settings whose memory is a fraction.
+func TestRuntimeMemoryLimitIsHalfOfTheMemory(t *testing.T) {
+	for text, want := range map[string]int64{`0`: 0, `280`: 140 << 20, `283.5`: 283<<19 + 1<<18} {
+		file, err := settings.Parse("test.json", []byte(`{"instance": {"name": "a", "memory_mb": `+text+`}}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		i := DefaultInstance()
+		if err := file.Decode("instance", &i); err != nil {
+			t.Fatal(err)
+		}
+		if got := i.runtimeMemoryLimit(); got != want {
+			t.Errorf("%s: limit of %d bytes, want %d", text, got, want)
+		}
+	}
+}
--- a/kernel/program.go
+++ b/kernel/program.go
@@ -121,6 +121,9 @@
 		return ExitUsage
 	}
 	debug.SetGCPercent(k.instance.GCPercent)
+	if limit := k.instance.runtimeMemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	registerLogMetrics(k, logs)
 	if err := runGroup(k); err != nil {
 		fmt.Fprintf(stderr, "%s: %v\n", name, err)
