--- a/plugin/journal/snapshot.go
+++ b/plugin/journal/snapshot.go
@@ -41,6 +41,7 @@
 	return b, nil
 }
 
+// decodeSnapshot decodes a snapshot, whose Data shares the memory of b.
 func decodeSnapshot(b []byte) (replog.Snapshot, error) {
 	var s replog.Snapshot
 	if len(b) < snapshotHeaderBytes || string(b[:8]) != snapshotMagic {
@@ -57,7 +58,7 @@
 	if err := json.Unmarshal(b[snapshotHeaderBytes:snapshotHeaderBytes+int(n)], &s.Config); err != nil {
 		return s, errors.Wrap(err, "decode snapshot configuration")
 	}
-	s.Data = append([]byte(nil), b[snapshotHeaderBytes+int(n):]...)
+	s.Data = b[snapshotHeaderBytes+int(n):]
 	return s, nil
 }
 
--- a/plugin/quorum/disk.go
+++ b/plugin/quorum/disk.go
@@ -82,9 +82,11 @@
 	q.mu.Unlock()
 
 	err := q.write(&work, hardState)
-	for _, load := range work.snapshotLoads {
-		s, loadErr := q.journal.LoadSnapshot()
-		load(s, loadErr)
+	if len(work.snapshotLoads) > 0 {
+		s, loadErr := q.journal.LoadSnapshot() // one copy for all members that need it
+		for _, load := range work.snapshotLoads {
+			load(s, loadErr)
+		}
 	}
 	if errors.Is(err, journal.ErrNoSpace) {
 		q.mu.Lock()
--- a/plugin/quorum/diskmemory_test.go
+++ b/plugin/quorum/diskmemory_test.go
@@ -89,3 +89,20 @@
 	close(freed)
 	g.checkSameTexts(leader, other)
 }
+
+// Guards against a copy of the snapshot in memory for each member that needs it: several members return at the same time
+// after a loss of power of their zone.
+func TestMembersShareOneCopyOfTheSnapshot(t *testing.T) {
+	g := startVoters(t, `, "snapshot_entries": 2, "keep_entries": 1`, "a", "b", "c")
+	for i := range 4 {
+		g.propose("a", fmt.Sprint(i))
+	}
+	q := g.machines["a"].kernel.Plugin("quorum").(*quorum.Quorum)
+	kerneltest.WaitUntil(t, 10*time.Second, "a snapshot", func() bool { return len(quorum.LoadSnapshots(q, 1)[0].Data) > 0 })
+	loaded := quorum.LoadSnapshots(q, 3)
+	for _, s := range loaded {
+		if len(s.Data) == 0 || &s.Data[0] != &loaded[0].Data[0] {
+			t.Fatalf("the members get copies of the snapshot at %d", s.Index)
+		}
+	}
+}
--- a/plugin/quorum/export_test.go
+++ b/plugin/quorum/export_test.go
@@ -13,6 +13,22 @@
 // LogBytes returns the size of the entries that q holds in memory.
 func LogBytes(q *Quorum) int { return q.measureLog((*raft.Core).LogBytes) }
 
+// LoadSnapshots reads the newest snapshot for n members at the same time, and returns what each gets.
+func LoadSnapshots(q *Quorum, n int) []replog.Snapshot {
+	results := make(chan replog.Snapshot, n)
+	q.mu.Lock()
+	for range n {
+		q.disk.snapshotLoads = append(q.disk.snapshotLoads, func(s replog.Snapshot, _ error) { results <- s })
+	}
+	q.scheduleDisk()
+	q.mu.Unlock()
+	var out []replog.Snapshot
+	for range n {
+		out = append(out, <-results)
+	}
+	return out
+}
+
 // FullDisk replaces the journal of an instance by one whose writes fail while Full is set, and whose
 // snapshots fail while FullForSnapshots is set, as on a disk that has room only for small writes.
 type FullDisk struct {
--- a/plugin/quorum/transport.go
+++ b/plugin/quorum/transport.go
@@ -19,6 +19,9 @@
 // maxSnapshotBytes bounds the size of a received snapshot; a larger one is refused.
 const maxSnapshotBytes = 1 << 30
 
+// maxPreallocatedBytes bounds the buffer that is allocated for a snapshot before its data arrives.
+const maxPreallocatedBytes = 32 << 20
+
 // chunkTimeout bounds the wait for the response to one chunk.
 const chunkTimeout = 10 * time.Second
 
@@ -139,7 +142,8 @@
 // receiveChunk adds a chunk and passes the complete snapshot to the core; mu is held.
 func (q *Quorum) receiveChunk(now raft.Instant, chunk *snapshotChunk) error {
 	if chunk.Offset == 0 {
-		q.receiving = &incomingSnapshot{header: *chunk}
+		q.receiving = &incomingSnapshot{header: *chunk, data: make([]byte, 0, min(chunk.Total, maxPreallocatedBytes))}
+		q.receiving.header.Data = nil
 	}
 	in := q.receiving
 	if in == nil || in.header.From != chunk.From || in.header.Term != chunk.Term || in.header.Index != chunk.Index ||
