--- a/kernel/context.go
+++ b/kernel/context.go
@@ -52,7 +52,7 @@
 	// lower values use less memory and more CPU time.
 	GCPercent int `json:"gc_percent"`
 	// MemoryMB is the memory that the process may use, in MiB; 0 if there is no limit. When the memory of the Go runtime
-	// approaches half of it, garbage is collected more often than GCPercent says, for up to half of the CPU time.
+	// approaches two fifths of it, garbage is collected more often than GCPercent says, for up to half of the CPU time.
 	MemoryMB float64 `json:"memory_mb"`
 	// Bootstrap allows a control instance with an empty data folder to form a new
 	// group of voters; it has the same effect as the flag --bootstrap.
@@ -62,9 +62,14 @@
 // stopGraceFraction is the fraction of StopGrace that a stop may take. The rest is for the exit itself.
 const stopGraceFraction = 0.95
 
-// runtimeMemoryLimit returns the memory in bytes above which the runtime collects garbage more often; 0 for none. The other
-// half of the memory is for peaks and for the buffers of sockets.
-func (i *Instance) runtimeMemoryLimit() int64 { return int64(i.MemoryMB * (1 << 20) / 2) }
+// runtimeMemoryShare is the share of the memory above which the runtime collects garbage more often. The resident memory is
+// to stay below half; that of the program itself and of peaks between two collections is added.
+const runtimeMemoryShare = 0.4
+
+// runtimeMemoryLimit returns the limit of the runtime in bytes; 0 for none.
+func (i *Instance) runtimeMemoryLimit() int64 {
+	return int64(i.MemoryMB * (1 << 20) * runtimeMemoryShare)
+}
 
 // maxStopTime returns the maximum duration of a stop.
 func (i *Instance) maxStopTime() time.Duration {
--- a/plugin/quorum/setup.go
+++ b/plugin/quorum/setup.go
@@ -18,7 +18,7 @@
 				Heartbeat:       settings.Duration(200 * time.Millisecond),
 				ReplaceAfter:    settings.Duration(2 * time.Second),
 				// A region can be cut off for an hour, and must not lose its members in that time.
-				ForgetAfter: settings.Duration(2 * time.Hour), SnapshotEntries: 10000, SnapshotBytes: 16 << 20, KeepEntries: 2000, KeepBytes: 8 << 20,
+				ForgetAfter: settings.Duration(2 * time.Hour), SnapshotEntries: 10000, SnapshotBytes: 8 << 20, KeepEntries: 2000, KeepBytes: 4 << 20,
 				UncommittedBytes: 16 << 20, UnsavedBytes: 16 << 20,
 			}
 		},
